base: utilities, interfaces of all modules, build and test frame

Cause: parallel work needs fixed interfaces, one build and one test command. Conclusion: modules can be written against these headers.

--- /dev/null
+++ b/src/base/mutant.c
@@ -0,0 +1,15 @@
+#include "base/mutant.h"
+
+#ifdef BC_MUTANTS
+#include <string.h>
+
+const char *mutant_active;
+
+int mutant_is(const char *name)
+{
+	return mutant_active && strcmp(mutant_active, name) == 0;
+}
+#else
+/* ISO C forbids an empty translation unit. */
+typedef int mutant_unused;
+#endif
--- /dev/null
+++ b/src/connection/upconn.h
@@ -0,0 +1,85 @@
+/*
+ * HTTP calls to one address (upstream, table service, another router's operators' port) over
+ * persistent connections, built on h2o's HTTP/1 client. One request is on a connection at a time.
+ *
+ * A connection is used again only after a whole answer with the right `x-request-id` echo (if an
+ * id was sent) and nothing left unread. upconn_reset() starts a new generation: idle connections
+ * of the old one are closed, because a connection that went silent seldom is the only one.
+ */
+#ifndef CONNECTION_UPCONN_H
+#define CONNECTION_UPCONN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <h2o.h>
+
+#include "base/clk.h"
+#include "base/str.h"
+
+#define UPCONN_MAX_ANSWER_BYTES (32u * 1024 * 1024)
+
+struct upconn_header {
+	struct str name; /* lower case */
+	struct str value;
+};
+
+enum upconn_result {
+	UPCONN_OK,	       /* whole answer */
+	UPCONN_NOT_SENT,       /* may_send() said no; nothing was written */
+	UPCONN_CONNECT_FAILED, /* nothing was written */
+	UPCONN_BROKE,	       /* connection ended after the write began, before the answer's end */
+	UPCONN_TIMEOUT,	       /* no whole answer in time; `sent` tells whether the write began */
+	UPCONN_MISMATCH,       /* answer to another request; the connection was closed */
+	UPCONN_TOO_LARGE,      /* answer over UPCONN_MAX_ANSWER_BYTES */
+};
+
+const char *upconn_result_name(enum upconn_result result);
+
+struct upconn_request {
+	struct str method;
+	struct str path;
+	const struct upconn_header *headers;
+	size_t n_headers;
+	struct str body;
+	struct str request_id; /* sent as x-request-id and compared with the echo; may be empty */
+	clk_ms timeout;	       /* for connect, write and whole answer together */
+	bool fresh;	       /* open a new connection instead of reusing one */
+	/* Called immediately before the first byte is written; NULL: always. */
+	bool (*may_send)(void *data);
+};
+
+struct upconn_answer {
+	enum upconn_result result;
+	bool sent;   /* at least one byte may have left */
+	bool reused; /* the connection had carried an earlier request */
+	int status;
+	const struct upconn_header *headers;
+	size_t n_headers;
+	struct str body;
+	clk_ms elapsed; /* from the write (or the call, if nothing was written) to the end */
+};
+
+/* Value of an answer's header, STR_NULL if absent. */
+struct str upconn_answer_header(const struct upconn_answer *a, const char *name);
+
+typedef void (*upconn_cb)(void *data, const struct upconn_answer *answer);
+
+struct upconn_pool;
+struct upconn_call;
+
+struct upconn_pool *upconn_pool_create(h2o_loop_t *loop, const char *ip, uint32_t port,
+				       size_t max_idle);
+/* Calls that are still open are cancelled without a callback. */
+void upconn_pool_destroy(struct upconn_pool *pool);
+void upconn_reset(struct upconn_pool *pool);
+
+/* Request memory must live until the callback, which always comes later, never from this call. */
+struct upconn_call *upconn_send(struct upconn_pool *pool, const struct upconn_request *req,
+				upconn_cb cb, void *data);
+/* Closes the connection; the callback is not called. */
+void upconn_cancel(struct upconn_call *call);
+bool upconn_was_sent(const struct upconn_call *call);
+
+#endif
--- /dev/null
+++ b/src/process/quarantine.h
@@ -0,0 +1,39 @@
+/* Requests that crashed upstreams, by fingerprint; the second crash quarantines. Pure. */
+#ifndef PROCESS_QUARANTINE_H
+#define PROCESS_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clk.h"
+
+#define QUARANTINE_CRASHES 2
+#define QUARANTINE_WINDOW_MS (60 * 60 * 1000)
+
+struct quarantine;
+
+struct quarantine *quarantine_create(clk_ms window);
+void quarantine_destroy(struct quarantine *q);
+
+/* Returns the number of crashes counted for the fingerprint, with this one. */
+uint32_t quarantine_crash(struct quarantine *q, clk_ms now, uint64_t fingerprint);
+/* Copy from another member: the larger count wins. */
+void quarantine_put(struct quarantine *q, clk_ms now, uint64_t fingerprint, uint32_t crashes);
+bool quarantine_blocks(const struct quarantine *q, clk_ms now, uint64_t fingerprint);
+
+/*
+ * While a request with this fingerprint and one crash is in flight, a second attempt must wait
+ * its turn: true if one more may be sent now.
+ */
+bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint);
+void quarantine_returned(struct quarantine *q, clk_ms now, uint64_t fingerprint);
+
+/* Lifted by an operator at configuration `version`; counts from before are forgotten once. */
+void quarantine_lift(struct quarantine *q, uint64_t fingerprint, uint64_t version);
+
+typedef void (*quarantine_visit)(void *data, uint64_t fingerprint, uint32_t crashes, clk_ms age);
+void quarantine_each(const struct quarantine *q, clk_ms now, quarantine_visit visit, void *data);
+void quarantine_tick(struct quarantine *q, clk_ms now);
+
+#endif
--- /dev/null
+++ b/src/version/doc.h
@@ -0,0 +1,44 @@
+/*
+ * Versioned documents that a router holds: `config`, `cell/<region>`, `assign/<region>/<service>`.
+ * The highest version wins and nothing reverts. Pure bookkeeping; bodies are protobuf bytes.
+ */
+#ifndef VERSION_DOC_H
+#define VERSION_DOC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+#define DOC_MAX_BYTES (1024 * 1024)
+
+struct doc {
+	struct str row;
+	uint64_t version;
+	struct str body;
+	bool from_store; /* read from or written to the store by this process */
+	struct doc *next;
+};
+
+struct doc_set;
+
+struct doc_set *doc_set_create(void);
+void doc_set_destroy(struct doc_set *set);
+
+/* Copies row and body. False if the held version is not older: then nothing changes. */
+bool doc_put(struct doc_set *set, struct str row, uint64_t version, struct str body);
+const struct doc *doc_get(const struct doc_set *set, struct str row);
+uint64_t doc_version(const struct doc_set *set, struct str row);
+const struct doc *doc_first(const struct doc_set *set);
+
+/*
+ * Versions that peers reported to hold, for "more than half of the members hold it".
+ * A lower report than an earlier one is ignored.
+ */
+void doc_note_peer(struct doc_set *set, uint64_t node, struct str row, uint64_t version);
+size_t doc_holders(const struct doc_set *set, struct str row, uint64_t version,
+		   const uint64_t *nodes, size_t n);
+void doc_forget_peer(struct doc_set *set, uint64_t node);
+
+#endif
