--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -62,6 +62,7 @@
 	BROKER_REFUSE_QUARANTINED,
 	BROKER_REFUSE_NOT_BROKER, /* this router does not hold the lease */
 	BROKER_REFUSE_NO_CONFIG,
+	BROKER_REFUSE_SUSPECT, /* an equal request crashed an upstream and is tried alone */
 };
 
 /* Stable name for logs and answers, for example "deadline". */
--- /dev/null
+++ b/src/process/mover.c
@@ -0,0 +1,765 @@
+#include "process/mover.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "base/mutant.h"
+#include "process/lead.h"
+#include "process/probe.h"
+#include "version/config.h"
+
+static const struct log log = {"mover"};
+
+CTR(ctr_moves, "owner_changes_total", "Partitions and split-off keys that got a new owner");
+CTR(ctr_aborted, "owner_changes_aborted_total", "Moves given up before they were written");
+
+#define PLAN_EVERY_MS 100
+#define BALANCE_EVERY_MS 5000
+#define STORE_READ_EVERY_MS 1000
+/* A move that only balances load is given up if the old owner is still busy after this time. */
+#define VOLUNTARY_DRAIN_MS 1000
+#define MAX_TRACKED_KEYS 256
+
+enum move_phase { MOVE_DRAIN, MOVE_READY, MOVE_WRITING, MOVE_CONFIRM, MOVE_GRANT };
+
+struct move {
+	struct move *next;
+	struct assign_move m;
+	enum move_phase phase;
+	clk_ms since;
+	uint64_t epoch; /* new epoch, known once written */
+	uint64_t
+		serial; /* grants with this serial no longer (or, in MOVE_GRANT, already) name it */
+	bool written;	/* the stored document has it already */
+};
+
+/* What the broker serves now. */
+struct unit {
+	uint32_t upstream; /* 0: nobody */
+	uint64_t epoch;
+	struct move *move; /* in progress */
+};
+
+struct hot_unit {
+	struct hot_unit *next;
+	uint64_t key_hash;
+	uint32_t partition;
+	struct unit unit;
+};
+
+struct mover {
+	struct svc *svc;
+	struct unit *parts;
+	uint32_t n_parts;
+	struct hot_unit *hot;
+	struct move *moves;
+	uint64_t serial;
+	Bc__Assign *doc; /* newest known */
+	bool write_in_flight;
+	bool must_read; /* a write could not be resolved: nothing is restored before a read */
+	bool reading;
+	clk_ms next_read;
+	clk_ms next_plan;
+	clk_ms next_balance;
+	double *loads;
+	struct assign_key_load keys[MAX_TRACKED_KEYS];
+	size_t n_keys;
+	bool dead; /* destroyed while a store call is open */
+	int open_calls;
+};
+
+/* ---- units ------------------------------------------------------------------------------------
+ */
+
+static struct hot_unit *find_hot(const struct mover *m, uint64_t key_hash)
+{
+	for (struct hot_unit *h = m->hot; h; h = h->next) {
+		if (h->key_hash == key_hash)
+			return h;
+	}
+	return NULL;
+}
+
+static bool is_hot_move(const struct assign_move *m)
+{
+	return m->unit != ASSIGN_PARTITION;
+}
+
+static struct unit *unit_of(struct mover *m, const struct assign_move *mv)
+{
+	struct hot_unit *h;
+
+	if (!is_hot_move(mv))
+		return mv->partition < m->n_parts ? &m->parts[mv->partition] : NULL;
+	h = find_hot(m, mv->key_hash);
+	if (!h) {
+		h = calloc(1, sizeof(*h));
+		h->key_hash = mv->key_hash;
+		h->partition = mv->partition;
+		h->next = m->hot;
+		m->hot = h;
+	}
+	return &h->unit;
+}
+
+static void remove_hot(struct mover *m, uint64_t key_hash)
+{
+	for (struct hot_unit **p = &m->hot; *p; p = &(*p)->next) {
+		struct hot_unit *h = *p;
+
+		if (h->key_hash != key_hash)
+			continue;
+		*p = h->next;
+		free(h);
+		return;
+	}
+}
+
+static void tell_broker(struct mover *m, clk_ms now, const struct assign_move *mv,
+			uint32_t upstream, uint64_t epoch)
+{
+	if (is_hot_move(mv))
+		broker_set_hot(m->svc->broker, now, mv->key_hash, upstream, epoch);
+	else
+		broker_set_owner(m->svc->broker, now, mv->partition, upstream, epoch);
+}
+
+static void unlink_move(struct mover *m, struct move *mv)
+{
+	struct unit *u = unit_of(m, &mv->m);
+	struct move **p = &m->moves;
+
+	while (*p != mv)
+		p = &(*p)->next;
+	*p = mv->next;
+	if (u)
+		u->move = NULL;
+	free(mv);
+}
+
+static struct move *start_move(struct mover *m, clk_ms now, const struct assign_move *am,
+			       enum move_phase phase, uint64_t epoch)
+{
+	struct unit *u = unit_of(m, am);
+	struct move *mv;
+
+	if (!u || u->move)
+		return NULL;
+	mv = calloc(1, sizeof(*mv));
+	mv->m = *am;
+	mv->phase = phase;
+	mv->since = now;
+	mv->epoch = epoch;
+	mv->written = phase != MOVE_DRAIN;
+	mv->serial = ++m->serial;
+	mv->next = m->moves;
+	m->moves = mv;
+	u->move = mv;
+	if (!MUTANT(mover_serves_while_moving))
+		tell_broker(m, now, am, 0, 0);
+	return mv;
+}
+
+/* ---- events -----------------------------------------------------------------------------------
+ */
+
+static void emit(struct mover *m, const char *kind, const struct move *mv, const char *cause)
+{
+	struct event ev = {.module = "assign", .kind = kind, .cause = str_from(cause)};
+
+	ev.service = str_from(m->svc->name);
+	ev.has_partition = true;
+	ev.partition = mv->m.partition;
+	ev.upstream = str_from(node_upstream_id(m->svc->node, mv->m.to));
+	ev.number = mv->epoch;
+	ev.version = m->doc ? m->doc->version : 0;
+	event_emit(m->svc->node->events, &ev);
+}
+
+/* ---- drain ------------------------------------------------------------------------------------
+ */
+
+static bool instance_gone(const struct svc_upstream *u, clk_ms now)
+{
+	return u->known_gone ||
+	       (u->conf && lead_instance_gone(u->svc->node->lead, now, u->conf->id));
+}
+
+/*
+ * Nothing can still run at an upstream that checks grants once its last grant ended, or once it
+ * acknowledged a grant without the unit and every slot came back.
+ */
+static bool checking_owner_is_clear(const struct svc_upstream *u, clk_ms now, const struct move *mv,
+				    size_t slots)
+{
+	if (u->health.state == HEALTH_LOST)
+		return now > u->grant_until + PROBE_GRANT_MARGIN_MS;
+	return slots == 0 && u->grant_serial_acked >= mv->serial;
+}
+
+/*
+ * An upstream that checks nothing is clear when every slot came back with a known outcome. After
+ * an unknown outcome it must be alive past the longest deadline, have restarted, or be gone.
+ */
+static bool unchecked_owner_is_clear(const struct svc_upstream *u, clk_ms now, size_t slots)
+{
+	if (instance_gone(u, now))
+		return true;
+	if (slots > 0)
+		return false;
+	if (u->last_unknown == 0)
+		return true;
+	return u->health.state == HEALTH_UP && now > u->last_unknown + NODE_MAX_TIMEOUT_MS;
+}
+
+static bool old_owner_is_clear(struct mover *m, clk_ms now, const struct move *mv)
+{
+	struct svc_upstream *u;
+	size_t slots;
+
+	if (mv->m.from == 0)
+		return true;
+	slots = is_hot_move(&mv->m) ? broker_slots_in_use_hot(m->svc->broker, mv->m.key_hash)
+				    : broker_slots_in_use(m->svc->broker, mv->m.partition);
+	u = svc_upstream(m->svc, mv->m.from);
+	if (!u || !u->conf)
+		return slots == 0;
+	if (u->conf->checks_grants)
+		return checking_owner_is_clear(u, now, mv, slots);
+	return unchecked_owner_is_clear(u, now, slots);
+}
+
+/* The owner stays as it was. */
+static void abort_move(struct mover *m, clk_ms now, struct move *mv, const char *cause)
+{
+	struct unit *u = unit_of(m, &mv->m);
+	struct assign_move am = mv->m;
+
+	ctr_inc(&ctr_aborted);
+	emit(m, "move-given-up", mv, cause);
+	unlink_move(m, mv);
+	m->serial++;
+	if (am.unit == ASSIGN_HOT_KEY && u->epoch == 0) {
+		remove_hot(m, am.key_hash);
+		broker_clear_hot(m->svc->broker, now, am.key_hash);
+		return;
+	}
+	tell_broker(m, now, &am, u->upstream, u->epoch);
+}
+
+static void step_drain(struct mover *m, clk_ms now, struct move *mv)
+{
+	if (old_owner_is_clear(m, now, mv)) {
+		mv->phase = mv->written ? MOVE_CONFIRM : MOVE_READY;
+		return;
+	}
+	if (!mv->m.forced && !mv->written && now - mv->since > VOLUNTARY_DRAIN_MS)
+		abort_move(m, now, mv, "old owner is still busy");
+}
+
+/* ---- write ------------------------------------------------------------------------------------
+ */
+
+static void release_call(struct mover *m)
+{
+	m->open_calls--;
+	if (m->dead && m->open_calls == 0)
+		free(m);
+}
+
+static void on_read(void *data, enum store_read_result result, uint64_t version, struct str body)
+{
+	struct mover *m = data;
+
+	m->reading = false;
+	if (!m->dead && result != STORE_READ_FAILED) {
+		if (result == STORE_ROW)
+			node_put_doc(m->svc->node, str_from(m->svc->assign_row), version, body,
+				     "store");
+		m->must_read = false;
+	}
+	release_call(m);
+}
+
+static void read_row(struct mover *m, clk_ms now)
+{
+	if (m->reading)
+		return;
+	m->reading = true;
+	m->open_calls++;
+	m->next_read = now + STORE_READ_EVERY_MS;
+	store_read(m->svc->node->store, str_from(m->svc->assign_row), m->doc ? m->doc->version : 0,
+		   on_read, m);
+}
+
+static struct assign_owner doc_owner(const struct mover *m, const struct assign_move *mv)
+{
+	struct assign_owner none = {0};
+
+	if (!m->doc)
+		return none;
+	if (!is_hot_move(mv))
+		return assign_lookup(m->doc, mv->partition, 0);
+	return assign_lookup(m->doc, mv->partition, mv->key_hash);
+}
+
+static void on_written(struct mover *m, clk_ms now)
+{
+	struct move *next;
+
+	for (struct move *mv = m->moves; mv; mv = next) {
+		struct assign_owner o;
+
+		next = mv->next;
+		if (mv->phase != MOVE_WRITING)
+			continue;
+		o = doc_owner(m, &mv->m);
+		mv->epoch = o.epoch;
+		mv->m.to = o.upstream;
+		mv->written = true;
+		mv->phase = MOVE_CONFIRM;
+	}
+}
+
+static void on_not_written(struct mover *m, clk_ms now, const char *cause)
+{
+	struct move *next;
+
+	for (struct move *mv = m->moves; mv; mv = next) {
+		next = mv->next;
+		if (mv->phase == MOVE_WRITING)
+			abort_move(m, now, mv, cause);
+	}
+}
+
+struct write_call {
+	struct mover *mover;
+	uint8_t *body;
+	size_t len;
+};
+
+static void on_write(void *data, enum store_write_result result, uint64_t version)
+{
+	struct write_call *call = data;
+	struct mover *m = call->mover;
+	clk_ms now = clk_now();
+
+	m->write_in_flight = false;
+	if (!m->dead) {
+		if (result == STORE_WRITTEN) {
+			node_put_doc(m->svc->node, str_from(m->svc->assign_row), version,
+				     (struct str){(char *)call->body, call->len}, "written");
+			on_written(m, now);
+		} else if (result == STORE_NOT_WRITTEN) {
+			on_not_written(m, now, "the table service cannot be reached");
+		} else {
+			/* Another writer or an unknown outcome: the store decides. */
+			m->must_read = true;
+			read_row(m, now);
+		}
+	}
+	free(call->body);
+	free(call);
+	release_call(m);
+}
+
+#define MAX_BATCH 4096
+
+static void write_ready(struct mover *m, clk_ms now)
+{
+	struct assign_move *batch;
+	size_t n = 0;
+	Bc__Assign *next;
+	struct write_call *call;
+
+	if (m->write_in_flight || m->must_read)
+		return;
+	batch = calloc(MAX_BATCH, sizeof(*batch));
+	for (struct move *mv = m->moves; mv && n < MAX_BATCH; mv = mv->next) {
+		if (mv->phase == MOVE_READY) {
+			batch[n++] = mv->m;
+			mv->phase = MOVE_WRITING;
+		}
+	}
+	if (n > 0) {
+		next = assign_apply(m->doc, m->svc->node->settings->region, m->svc->name, batch, n);
+		call = calloc(1, sizeof(*call));
+		call->mover = m;
+		call->len = bc__assign__get_packed_size(next);
+		call->body = malloc(call->len + 1);
+		bc__assign__pack(next, call->body);
+		m->write_in_flight = true;
+		m->open_calls++;
+		store_write(m->svc->node->store, str_from(m->svc->assign_row), next->version - 1,
+			    (struct str){(char *)call->body, call->len}, on_write, call);
+		assign_free(next);
+	}
+	free(batch);
+}
+
+/* ---- confirm, grant, serve --------------------------------------------------------------------
+ */
+
+static void step_confirm(struct mover *m, struct move *mv)
+{
+	struct svc_upstream *u;
+
+	if (!node_majority_holds(m->svc->node, str_from(m->svc->assign_row), m->doc->version))
+		return;
+	mv->phase = MOVE_GRANT;
+	mv->serial = ++m->serial;
+	u = svc_upstream(m->svc, mv->m.to);
+	if (u)
+		probe_hurry(u);
+}
+
+static void serve(struct mover *m, clk_ms now, struct move *mv)
+{
+	struct unit *u = unit_of(m, &mv->m);
+	struct assign_move am = mv->m;
+	bool changed = u->upstream != am.to;
+
+	u->upstream = am.to;
+	u->epoch = mv->epoch;
+	if (changed) {
+		ctr_inc(&ctr_moves);
+		emit(m, "owner-changed", mv, am.forced ? "old owner may not own keys" : "");
+	}
+	unlink_move(m, mv);
+	if (am.unit == ASSIGN_HOT_KEY_MERGE) {
+		remove_hot(m, am.key_hash);
+		broker_clear_hot(m->svc->broker, now, am.key_hash);
+		return;
+	}
+	tell_broker(m, now, &am, am.to, u->epoch);
+}
+
+static void step_grant(struct mover *m, clk_ms now, struct move *mv)
+{
+	struct svc_upstream *u = svc_upstream(m->svc, mv->m.to);
+
+	if (!u || !u->conf || !u->conf->checks_grants || u->grant_serial_acked >= mv->serial ||
+	    u->health.state == HEALTH_LOST)
+		serve(m, now, mv);
+}
+
+static void step_moves(struct mover *m, clk_ms now)
+{
+	struct move *next;
+
+	for (struct move *mv = m->moves; mv; mv = next) {
+		next = mv->next;
+		switch (mv->phase) {
+		case MOVE_DRAIN:
+			step_drain(m, now, mv);
+			break;
+		case MOVE_CONFIRM:
+			step_confirm(m, mv);
+			break;
+		case MOVE_GRANT:
+			step_grant(m, now, mv);
+			break;
+		case MOVE_READY:
+		case MOVE_WRITING:
+			break;
+		}
+	}
+}
+
+void mover_on_grant(struct mover *m, clk_ms now)
+{
+	step_moves(m, now);
+}
+
+/* ---- the stored document ----------------------------------------------------------------------
+ */
+
+/* A unit whose stored owner is not the one that is served: drain the old one, then serve the new.
+ */
+static void follow_doc(struct mover *m, clk_ms now, const struct assign_move *am, uint64_t epoch)
+{
+	struct unit *u = unit_of(m, am);
+	struct move *mv;
+
+	if (!u || u->move || (u->upstream == am->to && u->epoch == epoch))
+		return;
+	mv = start_move(m, now, am, u->upstream ? MOVE_DRAIN : MOVE_CONFIRM, epoch);
+	mv->written = true;
+	mv->m.from = u->upstream;
+}
+
+/* Moves that a newer document has overtaken continue with what the document says. */
+static void settle_moves(struct mover *m)
+{
+	for (struct move *mv = m->moves; mv; mv = mv->next) {
+		struct assign_owner o = doc_owner(m, &mv->m);
+
+		if (mv->phase == MOVE_DRAIN || mv->phase == MOVE_READY || o.epoch == mv->epoch ||
+		    (mv->phase == MOVE_WRITING && m->write_in_flight))
+			continue;
+		mv->epoch = o.epoch;
+		mv->m.to = o.upstream;
+		mv->written = true;
+		mv->phase = MOVE_CONFIRM;
+	}
+}
+
+void mover_on_assign(struct mover *m, clk_ms now)
+{
+	const struct doc *d = doc_get(m->svc->node->docs, str_from(m->svc->assign_row));
+	const Bc__Service *conf = config_service(m->svc->node->config, str_from(m->svc->name));
+	Bc__Assign *doc;
+
+	if (!d || (m->doc && d->version <= m->doc->version))
+		return;
+	doc = bc__assign__unpack(NULL, d->body.len, (const uint8_t *)d->body.ptr);
+	if (!doc)
+		return;
+	if (m->doc)
+		bc__assign__free_unpacked(m->doc, NULL);
+	m->doc = doc;
+	settle_moves(m);
+	for (size_t i = 0; i < doc->n_owners; i++) {
+		const Bc__Owner *o = doc->owners[i];
+		struct assign_move am = {.unit = ASSIGN_PARTITION,
+					 .partition = o->partition,
+					 .to = o->upstream,
+					 .forced = true};
+
+		follow_doc(m, now, &am, o->epoch);
+	}
+	for (size_t i = 0; i < doc->n_hot; i++) {
+		const Bc__HotKey *h = doc->hot[i];
+		struct assign_move am = {
+			.unit = ASSIGN_HOT_KEY,
+			.partition = conf ? config_partition(conf, h->key_hash) : 0,
+			.key_hash = h->key_hash,
+			.to = h->upstream,
+			.forced = true,
+		};
+
+		follow_doc(m, now, &am, h->epoch);
+	}
+}
+
+/* ---- planning ---------------------------------------------------------------------------------
+ */
+
+static bool may_own(const struct svc_upstream *u)
+{
+	return u->usable && u->health.state == HEALTH_UP && !u->health.draining;
+}
+
+static bool states_are_known(const struct svc *s)
+{
+	for (const struct svc_upstream *u = s->upstreams; u; u = u->next) {
+		if (u->conf && u->usable && u->health.state == HEALTH_UNKNOWN)
+			return false;
+	}
+	return true;
+}
+
+static size_t list_upstreams(const struct svc *s, struct assign_upstream *out, size_t max)
+{
+	size_t n = 0;
+
+	for (const struct svc_upstream *u = s->upstreams; u && n < max; u = u->next) {
+		if (u->conf)
+			out[n++] = (struct assign_upstream){u->num, u->conf->slots, may_own(u)};
+	}
+	return n;
+}
+
+/*
+ * Every cell assigns all partitions: those that rendezvous hashing gives to another region still
+ * hold the keys of client accounts and routes whose home is here.
+ */
+static bool *list_own_partitions(const struct mover *m)
+{
+	bool *mine = malloc(m->n_parts + 1);
+
+	memset(mine, true, m->n_parts + 1);
+	return mine;
+}
+
+#define MAX_UPSTREAMS 4096
+
+static void plan(struct mover *m, clk_ms now, bool balance)
+{
+	struct assign_upstream *ups = calloc(MAX_UPSTREAMS, sizeof(*ups));
+	struct assign_move *out = calloc(MAX_BATCH, sizeof(*out));
+	size_t n_ups = list_upstreams(m->svc, ups, MAX_UPSTREAMS);
+	bool *mine = list_own_partitions(m);
+	struct assign_options opts = assign_defaults;
+	struct assign_loads loads = {m->loads, m->keys, m->n_keys};
+	size_t n;
+
+	if (!balance) {
+		opts.max_voluntary = 0;
+		opts.max_hot_keys = 0;
+	}
+	n = assign_plan(m->doc, mine, m->n_parts, ups, n_ups, &loads, &opts, out, MAX_BATCH);
+	for (size_t i = 0; i < n; i++) {
+		if (!out[i].forced && !balance)
+			continue;
+		if (start_move(m, now, &out[i], MOVE_DRAIN, 0) && out[i].forced)
+			emit(m, "move-started", m->moves, "old owner may not own keys");
+	}
+	free(mine);
+	free(out);
+	free(ups);
+}
+
+/* Loads fade by half at each balancing round, so that keys that were hot lose their weight. */
+static void fade_loads(struct mover *m)
+{
+	size_t kept = 0;
+
+	for (uint32_t p = 0; p < m->n_parts; p++)
+		m->loads[p] /= 2;
+	for (size_t i = 0; i < m->n_keys; i++) {
+		m->keys[i].load /= 2;
+		if (m->keys[i].load >= 1)
+			m->keys[kept++] = m->keys[i];
+	}
+	m->n_keys = kept;
+}
+
+/* Space-saving counter: a new key takes the place and the count of the lightest one. */
+void mover_count(struct mover *m, uint32_t partition, uint64_t key_hash)
+{
+	size_t lightest = 0;
+
+	if (partition >= m->n_parts)
+		return;
+	m->loads[partition] += 1;
+	for (size_t i = 0; i < m->n_keys; i++) {
+		if (m->keys[i].key_hash == key_hash) {
+			m->keys[i].load += 1;
+			return;
+		}
+		if (m->keys[i].load < m->keys[lightest].load)
+			lightest = i;
+	}
+	if (m->n_keys < MAX_TRACKED_KEYS) {
+		m->keys[m->n_keys++] = (struct assign_key_load){key_hash, partition, 1};
+		return;
+	}
+	m->keys[lightest].key_hash = key_hash;
+	m->keys[lightest].partition = partition;
+	m->keys[lightest].load += 1;
+}
+
+static void tick_plan(struct mover *m, clk_ms now)
+{
+	bool balance = now >= m->next_balance && !m->moves;
+
+	if (now < m->next_plan || m->write_in_flight || m->must_read || m->svc->node->draining)
+		return;
+	m->next_plan = now + PLAN_EVERY_MS;
+	if (!store_reachable(m->svc->node->store) || !states_are_known(m->svc) || m->reading)
+		return;
+	plan(m, now, balance);
+	if (balance) {
+		m->next_balance = now + BALANCE_EVERY_MS;
+		fade_loads(m);
+	}
+}
+
+void mover_tick(struct mover *m, clk_ms now)
+{
+	if (now >= m->next_read || (m->must_read && !m->reading))
+		read_row(m, now);
+	step_moves(m, now);
+	write_ready(m, now);
+	tick_plan(m, now);
+}
+
+/* ---- grants -----------------------------------------------------------------------------------
+ */
+
+uint64_t mover_serial(const struct mover *m)
+{
+	return m->serial;
+}
+
+/* Epoch to grant to `num` for this unit, 0 for none. */
+static uint64_t granted_epoch(const struct unit *u, uint32_t num)
+{
+	if (u->move) {
+		bool next = u->move->phase == MOVE_GRANT && u->move->m.to == num;
+
+		return next ? u->move->epoch : 0;
+	}
+	return u->upstream == num ? u->epoch : 0;
+}
+
+void mover_write_grant(const struct mover *m, uint32_t num, FILE *out)
+{
+	const char *comma = "";
+
+	fputs("\"partitions\":[", out);
+	for (uint32_t p = 0; p < m->n_parts; p++) {
+		uint64_t epoch = granted_epoch(&m->parts[p], num);
+
+		if (!epoch)
+			continue;
+		fprintf(out, "%s[%u,%" PRIu64 "]", comma, p, epoch);
+		comma = ",";
+	}
+	/* Other upstreams get split-off keys with epoch 0, which no request carries. */
+	fputs("],\"hot\":[", out);
+	comma = "";
+	for (const struct hot_unit *h = m->hot; h; h = h->next) {
+		fprintf(out, "%s[\"%016" PRIx64 "\",%" PRIu64 "]", comma, h->key_hash,
+			granted_epoch(&h->unit, num));
+		comma = ",";
+	}
+	fputc(']', out);
+}
+
+size_t mover_active_moves(const struct mover *m)
+{
+	size_t n = 0;
+
+	for (const struct move *mv = m->moves; mv; mv = mv->next)
+		n++;
+	return n;
+}
+
+/* ---- life -------------------------------------------------------------------------------------
+ */
+
+struct mover *mover_create(struct svc *s, clk_ms now)
+{
+	struct mover *m = calloc(1, sizeof(*m));
+
+	m->svc = s;
+	s->mover = m;
+	m->n_parts = s->partitions;
+	m->parts = calloc(m->n_parts + 1, sizeof(*m->parts));
+	m->loads = calloc(m->n_parts + 1, sizeof(*m->loads));
+	m->next_balance = now + BALANCE_EVERY_MS;
+	mover_on_assign(m, now);
+	read_row(m, now);
+	return m;
+}
+
+void mover_destroy(struct mover *m)
+{
+	while (m->moves)
+		unlink_move(m, m->moves);
+	while (m->hot)
+		remove_hot(m, m->hot->key_hash);
+	free(m->parts);
+	free(m->loads);
+	if (m->doc)
+		bc__assign__free_unpacked(m->doc, NULL);
+	m->parts = NULL;
+	m->dead = true;
+	if (m->open_calls == 0)
+		free(m);
+}
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -29,6 +29,12 @@
 bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint);
 void quarantine_returned(struct quarantine *q, clk_ms now, uint64_t fingerprint);
 
+/*
+ * A request with this fingerprint was answered: its single crash was caused by something else, for
+ * example by another request on the same upstream. A quarantined fingerprint stays so.
+ */
+void quarantine_clear(struct quarantine *q, uint64_t fingerprint);
+
 /* Lifted by an operator at configuration `version`; counts from before are forgotten once. */
 void quarantine_lift(struct quarantine *q, uint64_t fingerprint, uint64_t version);
 
--- /dev/null
+++ b/src/process/svc.c
@@ -0,0 +1,804 @@
+#include "process/svc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "process/lead.h"
+#include "process/mover.h"
+#include "process/probe.h"
+#include "request/entry.h"
+#include "version/config.h"
+
+static const struct log log = {"svc"};
+
+CTR(ctr_grants, "broker_grants_total", "Slots lent to entries");
+CTR(ctr_refusals, "broker_refusals_total", "Asks refused");
+CTR(ctr_elected, "broker_elections_total", "Broker leases obtained by this router");
+
+#define UPSTREAM_MAX_IDLE 16
+
+/* ---- look-ups ---------------------------------------------------------------------------------
+ */
+
+struct svc *svc_find(const struct node *n, struct str name)
+{
+	for (struct svc *s = n->services; s; s = s->next) {
+		if (str_eq_cstr(name, s->name))
+			return s;
+	}
+	return NULL;
+}
+
+struct svc_upstream *svc_upstream(const struct svc *s, uint32_t num)
+{
+	for (struct svc_upstream *u = s->upstreams; u; u = u->next) {
+		if (u->num == num)
+			return u;
+	}
+	return NULL;
+}
+
+uint64_t svc_holder(const struct svc *s, clk_ms now)
+{
+	uint64_t confirmed = lease_holder(s->lease, now);
+
+	if (confirmed)
+		return confirmed;
+	return now < s->told_until ? s->told_holder : 0;
+}
+
+static bool has_reported(const struct svc *s, uint64_t node)
+{
+	for (size_t i = 0; i < s->n_reported; i++) {
+		if (s->reported[i] == node)
+			return true;
+	}
+	return false;
+}
+
+/* ---- services and upstreams follow the configuration ------------------------------------------
+ */
+
+static struct svc *svc_create(struct node *n, const char *name, clk_ms now)
+{
+	struct svc *s = calloc(1, sizeof(*s));
+	struct svc **end = &n->services;
+
+	s->node = n;
+	s->name = strdup(name);
+	s->pseudo = strcmp(name, NODE_LEAD_SERVICE) == 0;
+	s->lease = lease_create(&lease_defaults, n->self, str_hash(str_from(name)), now);
+	s->once = once_create(ONCE_WINDOW_MS);
+	s->quarantine = quarantine_create(QUARANTINE_WINDOW_MS);
+	while (*end)
+		end = &(*end)->next;
+	*end = s;
+	return s;
+}
+
+static struct svc_upstream *add_upstream(struct svc *s, const Bc__Upstream *conf)
+{
+	struct svc_upstream *u = calloc(1, sizeof(*u));
+
+	u->svc = s;
+	u->num = conf->num;
+	u->pool = upconn_pool_create(s->node->loop, conf->ip, conf->port, UPSTREAM_MAX_IDLE);
+	u->probes = upconn_pool_create(s->node->loop, conf->ip, conf->port, 1);
+	health_init(&u->health, clk_now());
+	u->next = s->upstreams;
+	s->upstreams = u;
+	return u;
+}
+
+static void set_upstreams(struct svc *s, const Bc__Config *c, clk_ms now)
+{
+	struct svc_upstream *u;
+
+	for (u = s->upstreams; u; u = u->next)
+		u->conf = NULL;
+	for (size_t i = 0; i < c->n_upstreams; i++) {
+		const Bc__Upstream *conf = c->upstreams[i];
+
+		if (strcmp(conf->service, s->name) != 0 ||
+		    strcmp(config_upstream_region(c, conf), s->node->settings->region) != 0)
+			continue;
+		u = svc_upstream(s, conf->num);
+		if (!u)
+			u = add_upstream(s, conf);
+		u->conf = conf;
+		u->usable = config_upstream_usable(c, conf);
+		u->known_gone = conf->intent == BC__UPSTREAM_INTENT__DEAD;
+	}
+	for (u = s->upstreams; u; u = u->next) {
+		if (!u->conf)
+			u->usable = false;
+		svc_push_upstream(u, now);
+	}
+}
+
+static void set_keyed(struct svc *s, const Bc__Service *conf)
+{
+	char row[256];
+
+	s->keyed = conf->keyed;
+	s->partitions = conf->partitions;
+	s->timeout_ms = conf->timeout_ms ? conf->timeout_ms : NODE_DEFAULT_TIMEOUT_MS;
+	if (!s->keyed || s->assign_row)
+		return;
+	snprintf(row, sizeof(row), "assign/%s/%s", s->node->settings->region, s->name);
+	s->assign_row = strdup(row);
+}
+
+void svc_apply_config(struct node *n)
+{
+	clk_ms now = clk_now();
+	const Bc__Config *c = n->config;
+
+	if (!svc_find(n, STR_LIT(NODE_LEAD_SERVICE)))
+		svc_create(n, NODE_LEAD_SERVICE, now);
+	if (!c)
+		return;
+	for (size_t i = 0; i < c->n_services; i++) {
+		struct svc *s = svc_find(n, str_from(c->services[i]->id));
+		bool created = !s;
+
+		if (created)
+			s = svc_create(n, c->services[i]->id, now);
+		set_keyed(s, c->services[i]);
+		if (created && n->cell_active)
+			svc_set_members(s, now);
+	}
+	for (struct svc *s = n->services; s; s = s->next) {
+		set_upstreams(s, c, now);
+		svc_lifted(s);
+	}
+}
+
+void svc_push_upstream(struct svc_upstream *u, clk_ms now)
+{
+	enum broker_upstream_state state = BROKER_COLD;
+	uint32_t slots = u->conf ? u->conf->slots : u->pushed_slots;
+	struct broker_upstream b;
+
+	if (!u->svc->broker)
+		return;
+	if (!u->usable)
+		state = BROKER_OUT;
+	else if (u->health.state == HEALTH_LOST)
+		state = BROKER_LOST;
+	else if (u->health.draining)
+		state = BROKER_DRAINING;
+	/* The broker raises COLD to WARM by itself; only real changes are passed on. */
+	if (u->pushed_any && u->pushed == state && u->pushed_slots == slots)
+		return;
+	u->pushed = state;
+	u->pushed_any = true;
+	u->pushed_slots = slots;
+	b = (struct broker_upstream){
+		.num = u->num,
+		.slots = slots,
+		.cold_limit = u->conf && u->conf->cold_limit ? u->conf->cold_limit : 1,
+		.state = state,
+	};
+	broker_set_upstream(u->svc->broker, now, &b);
+}
+
+void svc_set_members(struct svc *s, clk_ms now)
+{
+	struct node *n = s->node;
+
+	lease_set_members(s->lease, now, n->cell->version, n->members, n->n_members);
+	lease_set_may_hold(s->lease, n->is_member && !n->draining);
+}
+
+/* ---- lease ------------------------------------------------------------------------------------
+ */
+
+static void send_lease_ask(struct svc *s, const struct lease_ask *ask)
+{
+	struct node *n = s->node;
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__LeaseAsk msg = BC__LEASE_ASK__INIT;
+
+	msg.service = s->name;
+	msg.ballot = ask->ballot;
+	msg.cell_version = ask->cell_version;
+	msg.release = ask->release;
+	msg.sent = (uint64_t)ask->sent;
+	frame.body_case = BC__FRAME__BODY_LEASE_ASK;
+	frame.lease_ask = &msg;
+	for (size_t i = 0; i < n->n_members; i++) {
+		if (n->members[i] == n->self)
+			continue;
+		/* A member that has not reported yet is asked for its report again. */
+		msg.takeover = ask->takeover || (s->broker && !has_reported(s, n->members[i]));
+		peer_send(n->peers, n->members[i], &frame);
+	}
+}
+
+/* Report of this member for a takeover: slots its entries use, and its copies of records. */
+struct report {
+	Bc__LeaseReply *msg;
+	Bc__Record *records;
+	size_t size;
+};
+
+static void report_record(struct report *r, Bc__Record__Kind kind, uint64_t hash, uint32_t state,
+			  clk_ms age)
+{
+	Bc__Record *rec;
+
+	if (r->msg->n_records == r->size)
+		return;
+	rec = &r->records[r->msg->n_records];
+	bc__record__init(rec);
+	rec->kind = kind;
+	rec->hash = hash;
+	rec->state = state;
+	rec->age_ms = (uint32_t)age;
+	r->msg->records[r->msg->n_records++] = rec;
+}
+
+static void report_once(void *data, uint64_t hash, enum once_state state, clk_ms age)
+{
+	report_record(data, BC__RECORD__KIND__REQUEST, hash, state, age);
+}
+
+static void report_crash(void *data, uint64_t fingerprint, uint32_t crashes, clk_ms age)
+{
+	report_record(data, BC__RECORD__KIND__CRASH, fingerprint, crashes, age);
+}
+
+#define REPORT_MAX_CRASHES 4096
+
+static void send_report(struct svc *s, clk_ms now, uint64_t to, Bc__Frame *frame)
+{
+	Bc__LeaseReply *msg = frame->lease_reply;
+	size_t size = once_count(s->once) + REPORT_MAX_CRASHES;
+	struct report r = {msg, calloc(size, sizeof(Bc__Record)), size};
+	size_t n_slots = 0;
+	Bc__SlotInUse *slots;
+
+	for (struct svc_slot *u = s->slots; u; u = u->next)
+		n_slots++;
+	slots = calloc(n_slots + 1, sizeof(*slots));
+	msg->slots = calloc(n_slots + 1, sizeof(void *));
+	msg->records = calloc(size, sizeof(void *));
+	for (struct svc_slot *u = s->slots; u; u = u->next) {
+		Bc__SlotInUse *out = &slots[msg->n_slots];
+
+		bc__slot_in_use__init(out);
+		out->slot = u->slot;
+		out->upstream = u->upstream;
+		out->partition = u->partition;
+		out->deadline_utc_ms = u->deadline_utc;
+		msg->slots[msg->n_slots++] = out;
+	}
+	once_each(s->once, now, report_once, &r);
+	quarantine_each(s->quarantine, now, report_crash, &r);
+	msg->report = true;
+	peer_send(s->node->peers, to, frame);
+	free(msg->slots);
+	free(msg->records);
+	free(slots);
+	free(r.records);
+}
+
+void svc_on_lease_ask(struct svc *s, clk_ms now, uint64_t from, const Bc__LeaseAsk *ask)
+{
+	struct lease_ask in = {
+		.ballot = ask->ballot,
+		.cell_version = ask->cell_version,
+		.sent = (clk_ms)ask->sent,
+		.takeover = ask->takeover,
+		.release = ask->release,
+	};
+	struct lease_reply out = {0};
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__LeaseReply msg = BC__LEASE_REPLY__INIT;
+
+	if (!node_is_member(s->node, from))
+		return;
+	lease_on_ask(s->lease, now, from, &in, &out);
+	msg.service = s->name;
+	msg.granted = out.granted;
+	msg.ballot = out.ballot;
+	msg.cell_version = out.cell_version;
+	msg.holder = out.holder;
+	msg.remaining_ms = out.remaining > 0 ? (uint32_t)out.remaining : 0;
+	msg.sent = (uint64_t)out.sent;
+	if (s->assign_row)
+		msg.assign_version = doc_version(s->node->docs, str_from(s->assign_row));
+	frame.body_case = BC__FRAME__BODY_LEASE_REPLY;
+	frame.lease_reply = &msg;
+	if (out.granted && ask->takeover && !ask->release)
+		send_report(s, now, from, &frame);
+	else
+		peer_send(s->node->peers, from, &frame);
+}
+
+/* ---- takeover ---------------------------------------------------------------------------------
+ */
+
+static void adopt_slot(struct svc *s, clk_ms now, const struct broker_slot_view *v)
+{
+	if (v->deadline > now)
+		broker_adopt_slot(s->broker, now, v);
+}
+
+static void take_report(struct svc *s, clk_ms now, uint64_t from, const Bc__LeaseReply *r)
+{
+	clk_ms utc = clk_utc();
+
+	for (size_t i = 0; i < r->n_records; i++) {
+		const Bc__Record *rec = r->records[i];
+
+		if (rec->kind == BC__RECORD__KIND__REQUEST)
+			once_put(s->once, now, rec->hash, (enum once_state)rec->state, rec->age_ms);
+		else
+			quarantine_put(s->quarantine, now, rec->hash, rec->state);
+	}
+	for (size_t i = 0; i < r->n_slots; i++) {
+		struct broker_slot_view v = {
+			.slot = r->slots[i]->slot,
+			.node = from,
+			.upstream = r->slots[i]->upstream,
+			.partition = r->slots[i]->partition,
+			.lent = now,
+			.deadline = now + (r->slots[i]->deadline_utc_ms - utc),
+		};
+
+		if (s->broker)
+			adopt_slot(s, now, &v);
+		else if (s->n_reports < SVC_MAX_REPORTS)
+			s->reports[s->n_reports++] = v;
+		else
+			s->reports_overflow = true;
+	}
+	if (!has_reported(s, from) && s->n_reported < NODE_MAX_MEMBERS)
+		s->reported[s->n_reported++] = from;
+}
+
+/* Whether routers that left the cell shortly before may still use slots nobody reports. */
+static bool left_members_unknown(const struct node *n, clk_ms now)
+{
+	if (!n->cell || now - n->cell_since > NODE_MAX_TIMEOUT_MS)
+		return false;
+	for (size_t i = 0; i < n->cell->n_previous; i++) {
+		const Bc__Member *m = n->cell->previous[i];
+
+		if (!node_is_member(n, member_node(m->id, m->incarnation)) &&
+		    !lead_member_gone(n->lead, now, m))
+			return true;
+	}
+	return false;
+}
+
+static bool all_reported(const struct svc *s, clk_ms now)
+{
+	const struct node *n = s->node;
+
+	if (s->reports_overflow || left_members_unknown(n, now))
+		return false;
+	for (size_t i = 0; i < n->cell->n_members; i++) {
+		const Bc__Member *m = n->cell->members[i];
+		uint64_t node = member_node(m->id, m->incarnation);
+
+		if (node != n->self && !has_reported(s, node) && !lead_member_gone(n->lead, now, m))
+			return false;
+	}
+	return true;
+}
+
+static void clear_unknown_if_reported(struct svc *s, clk_ms now)
+{
+	if (!s->unknown_slots || !all_reported(s, now))
+		return;
+	s->unknown_slots = false;
+	broker_clear_unknown(s->broker);
+}
+
+static void adopt_reports(struct svc *s, clk_ms now)
+{
+	clk_ms utc = clk_utc();
+
+	for (size_t i = 0; i < s->n_reports; i++)
+		adopt_slot(s, now, &s->reports[i]);
+	s->n_reports = 0;
+	for (struct svc_slot *u = s->slots; u; u = u->next) {
+		struct broker_slot_view v = {
+			.slot = u->slot,
+			.node = s->node->self,
+			.upstream = u->upstream,
+			.partition = u->partition,
+			.lent = now,
+			.deadline = now + (u->deadline_utc - utc),
+		};
+
+		adopt_slot(s, now, &v);
+	}
+}
+
+static void become_broker(struct svc *s, clk_ms now)
+{
+	struct broker_options opts = broker_defaults;
+	struct event ev = {.module = "broker", .kind = "broker-elected"};
+
+	s->held = true;
+	ctr_inc(&ctr_elected);
+	ev.service = str_from(s->name);
+	ev.number = lease_number(s->lease);
+	ev.cause = STR_LIT("majority of the cell confirmed the lease");
+	event_emit(s->node->events, &ev);
+	log_info(&log, "broker of %s with lease %llu", s->name, (unsigned long long)ev.number);
+	node_heartbeat(s->node, now);
+	if (s->pseudo)
+		return;
+	opts.keyed = s->keyed;
+	opts.partitions = s->partitions;
+	opts.hedging = !s->keyed;
+	s->broker = broker_create(&opts, lease_number(s->lease) << 20, rnd_u64(&s->node->rnd));
+	for (struct svc_upstream *u = s->upstreams; u; u = u->next) {
+		u->pushed_any = false;
+		health_init(&u->health, now);
+		u->next_probe = now;
+		u->grant_until = 0;
+		u->grant_serial_sent = u->grant_serial_acked = 0;
+		/* Requests that earlier brokers admitted may still be running unseen. */
+		u->last_unknown = now;
+		svc_push_upstream(u, now);
+	}
+	adopt_reports(s, now);
+	if (!all_reported(s, now)) {
+		s->unknown_slots = true;
+		broker_hold_unknown(s->broker, now + NODE_MAX_TIMEOUT_MS);
+	}
+	if (s->keyed)
+		s->mover = mover_create(s, now);
+}
+
+static void resign(struct svc *s, const char *cause)
+{
+	struct event ev = {.module = "broker", .kind = "broker-ended", .cause = str_from(cause)};
+
+	s->held = false;
+	ev.service = str_from(s->name);
+	event_emit(s->node->events, &ev);
+	log_info(&log, "no longer broker of %s: %s", s->name, cause);
+	probe_stop(s);
+	if (s->mover)
+		mover_destroy(s->mover);
+	s->mover = NULL;
+	if (s->broker)
+		broker_destroy(s->broker);
+	s->broker = NULL;
+	svc_record_drop(s);
+	s->n_reported = 0;
+	s->n_reports = 0;
+	s->reports_overflow = false;
+	s->unknown_slots = false;
+}
+
+static void fetch_assign(struct svc *s, uint64_t from, uint64_t version)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__DocGet get = BC__DOC_GET__INIT;
+
+	if (!s->assign_row || version <= doc_version(s->node->docs, str_from(s->assign_row)))
+		return;
+	get.row = s->assign_row;
+	get.have = doc_version(s->node->docs, str_from(s->assign_row));
+	frame.body_case = BC__FRAME__BODY_DOC_GET;
+	frame.doc_get = &get;
+	peer_send(s->node->peers, from, &frame);
+}
+
+void svc_on_lease_reply(struct svc *s, clk_ms now, uint64_t from, const Bc__LeaseReply *r)
+{
+	struct lease_reply in = {
+		.granted = r->granted,
+		.ballot = r->ballot,
+		.cell_version = r->cell_version,
+		.holder = r->holder,
+		.remaining = r->remaining_ms,
+		.sent = (clk_ms)r->sent,
+	};
+
+	if (!node_is_member(s->node, from))
+		return;
+	fetch_assign(s, from, r->assign_version);
+	if (r->granted && r->report)
+		take_report(s, now, from, r);
+	lease_on_reply(s->lease, now, from, &in);
+	if (s->broker)
+		clear_unknown_if_reported(s, now);
+}
+
+void svc_release(struct svc *s, clk_ms now)
+{
+	struct lease_ask ask;
+
+	lease_set_may_hold(s->lease, false);
+	if (s->held)
+		resign(s, "planned stop");
+	if (lease_release(s->lease, now, &ask))
+		send_lease_ask(s, &ask);
+}
+
+/*
+ * A broker whose documents are older than what a member of its majority holds must not act yet:
+ * the newer assignment may already be in effect.
+ */
+static bool has_newest_assign(const struct svc *s)
+{
+	const struct node *n = s->node;
+	struct str row;
+	uint64_t held;
+
+	if (!s->assign_row)
+		return true;
+	row = str_from(s->assign_row);
+	held = doc_version(n->docs, row);
+	return doc_holders(n->docs, row, held + 1, n->members, n->n_members) == 0;
+}
+
+void svc_tick(struct svc *s, clk_ms now)
+{
+	struct lease_ask ask;
+	bool held;
+
+	if (lease_tick(s->lease, now, &ask))
+		send_lease_ask(s, &ask);
+	held = lease_is_held(s->lease, now);
+	if (s->held && !held)
+		resign(s, "lease expired");
+	else if (!s->held && held && has_newest_assign(s))
+		become_broker(s, now);
+	if (!s->broker) {
+		once_tick(s->once, now);
+		return;
+	}
+	clear_unknown_if_reported(s, now);
+	broker_tick(s->broker, now);
+	probe_tick(s, now);
+	if (s->mover)
+		mover_tick(s->mover, now);
+	svc_record_tick(s, now);
+	svc_flush(s, now);
+}
+
+/* ---- asks and decisions -----------------------------------------------------------------------
+ */
+
+static void send_refuse(struct svc *s, clk_ms now, uint64_t node, const Bc__Refuse *msg)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+
+	ctr_inc(&ctr_refusals);
+	if (node == s->node->self) {
+		entry_on_refuse(s->node->entries, now, msg);
+		return;
+	}
+	frame.body_case = BC__FRAME__BODY_REFUSE;
+	frame.refuse = (Bc__Refuse *)msg;
+	peer_send(s->node->peers, node, &frame);
+}
+
+static void refuse(struct svc *s, clk_ms now, uint64_t node, uint64_t ask,
+		   enum broker_refusal reason, clk_ms retry_after)
+{
+	Bc__Refuse msg = BC__REFUSE__INIT;
+
+	msg.ask = ask;
+	msg.reason = reason;
+	msg.retry_after_ms = retry_after > 0 ? (uint32_t)retry_after : 0;
+	send_refuse(s, now, node, &msg);
+}
+
+void svc_refuse_repeat(struct svc *s, clk_ms now, uint64_t node, uint64_t ask,
+		       enum once_state recorded)
+{
+	Bc__Refuse msg = BC__REFUSE__INIT;
+
+	msg.ask = ask;
+	msg.reason = BROKER_REFUSE_REPEAT;
+	msg.recorded = recorded;
+	send_refuse(s, now, node, &msg);
+}
+
+static void send_grant(struct svc *s, clk_ms now, const struct broker_decision *d)
+{
+	clk_ms send_by = d->send_by;
+	clk_ms utc = clk_utc();
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__Grant msg = BC__GRANT__INIT;
+
+	if (send_by > lease_expires(s->lease))
+		send_by = lease_expires(s->lease);
+	msg.ask = d->ask;
+	msg.service = s->name;
+	msg.slot = d->slot;
+	msg.upstream = d->upstream;
+	msg.epoch = d->epoch;
+	msg.fence = lease_number(s->lease);
+	msg.send_within_ms = send_by > now ? (uint32_t)(send_by - now) : 0;
+	msg.send_by_utc_ms = utc + msg.send_within_ms;
+	msg.deadline_utc_ms = utc + (d->deadline - now);
+	msg.hedge_after_ms = d->hedge_after > 0 ? (uint32_t)d->hedge_after : 0;
+	ctr_inc(&ctr_grants);
+	if (d->node == s->node->self) {
+		entry_on_grant(s->node->entries, now, &msg);
+		return;
+	}
+	frame.body_case = BC__FRAME__BODY_GRANT;
+	frame.grant = &msg;
+	if (!peer_send(s->node->peers, d->node, &frame))
+		broker_done(s->broker, now, d->slot, BROKER_DONE_UNUSED, 0);
+}
+
+void svc_flush(struct svc *s, clk_ms now)
+{
+	struct broker_decision d;
+
+	while (s->broker && broker_next(s->broker, now, &d)) {
+		if (d.kind == BROKER_REFUSE) {
+			svc_record_refused(s, now, d.node, d.ask);
+			refuse(s, now, d.node, d.ask, d.reason, d.retry_after);
+		} else if (!lease_is_held(s->lease, now)) {
+			/* The lease ran out since the last tick: nothing may be lent any more. */
+			svc_record_refused(s, now, d.node, d.ask);
+			refuse(s, now, d.node, d.ask, BROKER_REFUSE_NOT_BROKER, 0);
+			broker_done(s->broker, now, d.slot, BROKER_DONE_UNUSED, 0);
+		} else {
+			svc_record_granted(s, d.node, d.ask);
+			send_grant(s, now, &d);
+		}
+	}
+}
+
+void svc_on_ask(struct svc *s, clk_ms now, uint64_t from, const Bc__Ask *ask)
+{
+	struct broker_ask in = {
+		.node = from,
+		.id = ask->id,
+		.partition = ask->partition,
+		.key_hash = ask->key_hash,
+		.idempotent = ask->idempotent,
+		.request_id_hash = ask->request_id_hash,
+		.fingerprint = ask->fingerprint,
+		.attempt = ask->attempt,
+		.hedge_of = ask->hedge_of,
+	};
+	clk_ms timeout = ask->timeout_ms;
+
+	if (!s->broker || !lease_is_held(s->lease, now) || !node_is_member(s->node, from) ||
+	    (s->keyed && ask->partition >= s->partitions)) {
+		refuse(s, now, from, ask->id, BROKER_REFUSE_NOT_BROKER, 0);
+		return;
+	}
+	in.deadline = now + (timeout > NODE_MAX_TIMEOUT_MS ? NODE_MAX_TIMEOUT_MS : timeout);
+	if (quarantine_blocks(s->quarantine, now, ask->fingerprint)) {
+		refuse(s, now, from, ask->id, BROKER_REFUSE_QUARANTINED, 0);
+		return;
+	}
+	if (!quarantine_may_send(s->quarantine, now, ask->fingerprint)) {
+		refuse(s, now, from, ask->id, BROKER_REFUSE_SUSPECT, 1000);
+		return;
+	}
+	if (s->mover)
+		mover_count(s->mover, ask->partition, ask->key_hash);
+	if (ask->idempotent)
+		broker_ask(s->broker, now, &in);
+	else
+		svc_record_ask(s, now, from, &in);
+}
+
+static void count_crash(struct svc *s, clk_ms now, const Bc__Done *done)
+{
+	uint32_t crashes = quarantine_crash(s->quarantine, now, done->fingerprint);
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__Record rec = BC__RECORD__INIT;
+	struct event ev = {.module = "quarantine", .kind = "upstream-crashed-by-request"};
+
+	rec.service = s->name;
+	rec.kind = BC__RECORD__KIND__CRASH;
+	rec.hash = done->fingerprint;
+	rec.state = crashes;
+	frame.body_case = BC__FRAME__BODY_RECORD;
+	frame.record = &rec;
+	node_broadcast(s->node, &frame);
+	ev.service = str_from(s->name);
+	ev.upstream = str_from(node_upstream_id(s->node, done->upstream));
+	ev.cause = crashes >= QUARANTINE_CRASHES ? STR_LIT("quarantined; lift with "
+							   "bamboocroft-ctl lift")
+						 : STR_LIT("first crash");
+	ev.number = done->fingerprint;
+	event_emit(s->node->events, &ev);
+}
+
+void svc_on_done(struct svc *s, clk_ms now, uint64_t from, const Bc__Done *done)
+{
+	struct svc_upstream *u = svc_upstream(s, done->upstream);
+	enum broker_outcome outcome = (enum broker_outcome)done->outcome;
+
+	if (!s->broker)
+		return;
+	broker_done(s->broker, now, done->slot, outcome, done->service_ms);
+	if (u)
+		probe_note_done(u, now, outcome, done->start_id);
+	quarantine_returned(s->quarantine, now, done->fingerprint);
+	if (outcome == BROKER_DONE_OK)
+		quarantine_clear(s->quarantine, done->fingerprint);
+	if (outcome == BROKER_DONE_BROKE)
+		count_crash(s, now, done);
+	svc_record_done(s, now, done);
+	if (s->mover)
+		mover_tick(s->mover, now);
+}
+
+void svc_on_cancel(struct svc *s, clk_ms now, uint64_t from, uint64_t ask)
+{
+	if (!s->broker)
+		return;
+	broker_cancel(s->broker, now, from, ask);
+	svc_record_refused(s, now, from, ask);
+}
+
+/* ---- slots of this router's entries -----------------------------------------------------------
+ */
+
+void svc_slot_add(struct svc *s, uint64_t slot, uint32_t upstream, uint32_t partition,
+		  clk_ms deadline_utc)
+{
+	struct svc_slot *u = calloc(1, sizeof(*u));
+
+	u->slot = slot;
+	u->upstream = upstream;
+	u->partition = partition;
+	u->deadline_utc = deadline_utc;
+	u->next = s->slots;
+	s->slots = u;
+}
+
+void svc_slot_remove(struct svc *s, uint64_t slot)
+{
+	for (struct svc_slot **p = &s->slots; *p; p = &(*p)->next) {
+		struct svc_slot *u = *p;
+
+		if (u->slot != slot)
+			continue;
+		*p = u->next;
+		free(u);
+		return;
+	}
+}
+
+void svc_destroy_all(struct node *n)
+{
+	while (n->services) {
+		struct svc *s = n->services;
+
+		if (s->held)
+			resign(s, "process ends");
+		while (s->upstreams) {
+			struct svc_upstream *u = s->upstreams;
+
+			s->upstreams = u->next;
+			upconn_pool_destroy(u->pool);
+			upconn_pool_destroy(u->probes);
+			free(u->probe_body);
+			free(u);
+		}
+		while (s->slots)
+			svc_slot_remove(s, s->slots->slot);
+		lease_destroy(s->lease);
+		once_destroy(s->once);
+		quarantine_destroy(s->quarantine);
+		n->services = s->next;
+		free(s->assign_row);
+		free(s->name);
+		free(s);
+	}
+}
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -3015,7 +3015,7 @@
   (ProtobufCMessageInit) bc__lease_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__heartbeat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bc__heartbeat__field_descriptors[4] =
 {
   {
     "docs",
@@ -3053,8 +3053,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_in_force",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Heartbeat, config_in_force),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__heartbeat__field_indices_by_name[] = {
+  3,   /* field[3] = config_in_force */
   0,   /* field[0] = docs */
   2,   /* field[2] = draining */
   1,   /* field[1] = leases */
@@ -3062,7 +3075,7 @@
 static const ProtobufCIntRange bc__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bc__heartbeat__descriptor =
 {
@@ -3072,7 +3085,7 @@
   "Bc__Heartbeat",
   "bc",
   sizeof(Bc__Heartbeat),
-  3,
+  4,
   bc__heartbeat__field_descriptors,
   bc__heartbeat__field_indices_by_name,
   1,  bc__heartbeat__number_ranges,
@@ -3377,7 +3390,7 @@
   (ProtobufCMessageInit) bc__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__lease_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bc__lease_reply__field_descriptors[11] =
 {
   {
     "service",
@@ -3499,6 +3512,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "report",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LeaseReply, report),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__lease_reply__field_indices_by_name[] = {
   9,   /* field[9] = assign_version */
@@ -3508,6 +3533,7 @@
   4,   /* field[4] = holder */
   8,   /* field[8] = records */
   5,   /* field[5] = remaining_ms */
+  10,   /* field[10] = report */
   6,   /* field[6] = sent */
   0,   /* field[0] = service */
   7,   /* field[7] = slots */
@@ -3515,7 +3541,7 @@
 static const ProtobufCIntRange bc__lease_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bc__lease_reply__descriptor =
 {
@@ -3525,7 +3551,7 @@
   "Bc__LeaseReply",
   "bc",
   sizeof(Bc__LeaseReply),
-  10,
+  11,
   bc__lease_reply__field_descriptors,
   bc__lease_reply__field_indices_by_name,
   1,  bc__lease_reply__number_ranges,
@@ -3802,7 +3828,7 @@
   (ProtobufCMessageInit) bc__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__grant__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bc__grant__field_descriptors[10] =
 {
   {
     "ask",
@@ -3888,20 +3914,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "send_by_utc_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Grant, send_by_utc_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_utc_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Grant, deadline_utc_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Grant, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__grant__field_indices_by_name[] = {
   0,   /* field[0] = ask */
+  8,   /* field[8] = deadline_utc_ms */
   3,   /* field[3] = epoch */
   4,   /* field[4] = fence */
   6,   /* field[6] = hedge_after_ms */
+  7,   /* field[7] = send_by_utc_ms */
   5,   /* field[5] = send_within_ms */
+  9,   /* field[9] = service */
   1,   /* field[1] = slot */
   2,   /* field[2] = upstream */
 };
 static const ProtobufCIntRange bc__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bc__grant__descriptor =
 {
@@ -3911,7 +3976,7 @@
   "Bc__Grant",
   "bc",
   sizeof(Bc__Grant),
-  7,
+  10,
   bc__grant__field_descriptors,
   bc__grant__field_indices_by_name,
   1,  bc__grant__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -358,10 +358,11 @@
   size_t n_leases;
   Bc__LeaseView **leases;
   protobuf_c_boolean draining;
+  uint64_t config_in_force;
 };
 #define BC__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__heartbeat__descriptor) \
-    , 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Bc__LeaseAsk
@@ -436,10 +437,14 @@
   size_t n_records;
   Bc__Record **records;
   uint64_t assign_version;
+  /*
+   * slots and records are complete
+   */
+  protobuf_c_boolean report;
 };
 #define BC__LEASE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__lease_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Bc__DocGet
@@ -506,10 +511,16 @@
    * 0: do not hedge
    */
   uint32_t hedge_after_ms;
+  /*
+   * bounds a grant that was read late
+   */
+  int64_t send_by_utc_ms;
+  int64_t deadline_utc_ms;
+  char *service;
 };
 #define BC__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__grant__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Bc__Refuse
--- /dev/null
+++ b/src/request/entry.c
@@ -0,0 +1,491 @@
+#include "request/entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "request/entry_priv.h"
+
+static const struct log log = {"entry"};
+
+CTR(ctr_requests, "requests_total", "Requests received from callers and relays");
+CTR(ctr_completed, "requests_completed_total", "Requests answered by an upstream");
+CTR(ctr_refused, "requests_not_run_total", "Requests refused without having run");
+CTR(ctr_unknown, "requests_unknown_total", "Requests whose outcome is unknown");
+CTR(ctr_wrong_region, "requests_wrong_region_total", "Requests refused for their home regions");
+
+#define REQUEST_ID_MIN 8
+#define REQUEST_ID_MAX 64
+
+/* ---- life -------------------------------------------------------------------------------------
+ */
+
+struct entry_list *entry_list_create(struct node *n)
+{
+	struct entry_list *list = calloc(1, sizeof(*list));
+
+	list->node = n;
+	list->next_ask = 1;
+	return list;
+}
+
+static void free_entry(struct entry *e)
+{
+	arena_free(&e->arena);
+	free(e);
+}
+
+void entry_list_destroy(struct entry_list *list)
+{
+	if (!list)
+		return;
+	while (list->entries) {
+		struct entry *e = list->entries;
+
+		list->entries = e->next;
+		if (!e->finished)
+			entry_cancel_calls(e);
+		free_entry(e);
+	}
+	free(list);
+}
+
+size_t entry_list_open(const struct entry_list *list)
+{
+	return list->open;
+}
+
+/* Entries are freed here and never inside a callback that may still use them. */
+void entry_list_tick(struct entry_list *list, clk_ms now)
+{
+	struct entry **p = &list->entries;
+
+	while (*p) {
+		struct entry *e = *p;
+
+		if (!e->finished)
+			entry_call_tick(e, now);
+		if (e->finished) {
+			*p = e->next;
+			free_entry(e);
+		} else {
+			p = &e->next;
+		}
+	}
+}
+
+void entry_finish(struct entry *e, const struct entry_answer *answer)
+{
+	if (e->finished)
+		return;
+	e->finished = true;
+	e->list->open--;
+	entry_cancel_calls(e);
+	if (e->relay)
+		relay_cancel(e->node->relays, e->relay);
+	if (e->source && answer)
+		e->source->reply(e->data, answer);
+	e->source = NULL;
+}
+
+void entry_abandon(struct entry *e)
+{
+	e->source = NULL;
+	if (e->finished)
+		return;
+	/* A request that may run only once goes on, so that its outcome is recorded. */
+	if (e->idempotent || !e->svc || (!e->calls[0].call && !e->relay))
+		entry_finish(e, NULL);
+}
+
+/* ---- refusals ---------------------------------------------------------------------------------
+ */
+
+static void emit_refusal(const struct entry *e, int status, const char *outcome, const char *error)
+{
+	struct event ev = {.module = "entry", .kind = "request-refused", .cause = str_from(error)};
+
+	/* Nothing of a request whose home is elsewhere may stay here, not even its id. */
+	if (status != 421)
+		ev.request_id = e->request_id;
+	ev.homed = e->homed;
+	if (e->svc && status != 421) {
+		ev.service = str_from(e->svc->name);
+		ev.has_partition = e->svc->keyed;
+		ev.partition = e->partition;
+	}
+	ev.number = (uint64_t)status;
+	ev.peer = str_from(outcome);
+	ev.version = e->node->config ? e->node->config->version : 0;
+	event_emit(e->node->events, &ev);
+}
+
+static void refuse_with(struct entry *e, int status, const char *outcome, const char *error,
+			const char *remedy, struct upconn_header extra)
+{
+	struct upconn_header headers[4] = {
+		{STR_LIT("content-type"), STR_LIT("application/json")},
+		{STR_LIT("x-outcome"), str_from(outcome)},
+	};
+	struct entry_answer answer = {.status = status, .headers = headers, .n_headers = 2};
+
+	if (extra.name.len)
+		headers[answer.n_headers++] = extra;
+	answer.body =
+		arena_printf(&e->arena, "{\"error\":\"%s\",\"remedy\":\"%s\",\"outcome\":\"%s\"}\n",
+			     error, remedy, outcome);
+	if (strcmp(outcome, "unknown") == 0)
+		ctr_inc(&ctr_unknown);
+	else if (strcmp(outcome, "not-run") == 0)
+		ctr_inc(&ctr_refused);
+	emit_refusal(e, status, outcome, error);
+	entry_finish(e, &answer);
+}
+
+void entry_refuse_as(struct entry *e, int status, const char *outcome, const char *error,
+		     const char *remedy, clk_ms retry_after)
+{
+	struct upconn_header extra = {0};
+
+	if (e->finished)
+		return;
+	if (retry_after > 0) {
+		extra.name = STR_LIT("retry-after");
+		extra.value =
+			arena_printf(&e->arena, "%lld", (long long)(retry_after + 999) / 1000);
+	}
+	refuse_with(e, status, outcome, error, remedy, extra);
+}
+
+void entry_refuse(struct entry *e, int status, const char *error, const char *remedy,
+		  clk_ms retry_after)
+{
+	if (e->maybe_ran)
+		entry_refuse_as(e, 504, "unknown", error,
+				"an earlier attempt may have run; check the state, then send again",
+				0);
+	else
+		entry_refuse_as(e, status, "not-run", error, remedy, retry_after);
+}
+
+static void refuse_wrong_region(struct entry *e, const Bc__Region *home)
+{
+	struct upconn_header extra = {0};
+
+	ctr_inc(&ctr_wrong_region);
+	if (home && home->n_entries > 0) {
+		extra.name = STR_LIT("x-bamboocroft-entry");
+		extra.value = str_from(home->entries[0]);
+	}
+	refuse_with(e, 421, "not-run", "this request may be served only in its home regions",
+		    "send it to the entry named in x-bamboocroft-entry", extra);
+}
+
+/* ---- parsing ----------------------------------------------------------------------------------
+ */
+
+static struct str find_header(const struct entry_input *in, const char *name)
+{
+	for (size_t i = 0; i < in->n_headers; i++) {
+		if (str_eq_cstr(in->headers[i].name, name))
+			return in->headers[i].value;
+	}
+	return STR_NULL;
+}
+
+static void copy_input(struct entry *e, const struct entry_input *in)
+{
+	struct upconn_header *headers =
+		arena_alloc(&e->arena, sizeof(*headers) * in->n_headers + 1);
+
+	e->in = *in;
+	e->in.method = arena_str(&e->arena, in->method);
+	e->in.path = arena_str(&e->arena, in->path);
+	for (size_t i = 0; i < in->n_headers; i++) {
+		headers[i].name = arena_str(&e->arena, in->headers[i].name);
+		headers[i].value = arena_str(&e->arena, in->headers[i].value);
+	}
+	e->in.headers = headers;
+}
+
+static bool valid_request_id(struct str id)
+{
+	if (id.len < REQUEST_ID_MIN || id.len > REQUEST_ID_MAX)
+		return false;
+	for (size_t i = 0; i < id.len; i++) {
+		char c = id.ptr[i];
+
+		if (!((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+		      c == '.' || c == '_' || c == '-'))
+			return false;
+	}
+	return true;
+}
+
+static uint64_t fingerprint(const struct entry *e)
+{
+	XXH64_state_t *state = XXH64_createState();
+	struct str parts[] = {str_from(e->svc->name), str_from(e->route->prefix), e->account,
+			      e->key, e->in.body};
+	uint64_t hash;
+
+	XXH64_reset(state, 0);
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		XXH64_update(state, &parts[i].len, sizeof(parts[i].len));
+		if (parts[i].len)
+			XXH64_update(state, parts[i].ptr, parts[i].len);
+	}
+	hash = XXH64_digest(state);
+	XXH64_freeState(state);
+	return hash ? hash : 1;
+}
+
+static bool parse_timeout(struct entry *e)
+{
+	struct str text = find_header(&e->in, "x-timeout-ms");
+	uint64_t ms = e->svc->timeout_ms;
+
+	if (text.len && (!str_to_u64(text, NODE_MAX_TIMEOUT_MS, &ms) || ms == 0)) {
+		entry_refuse(e, 400, "x-timeout-ms is not a number from 1 to 10000",
+			     "give the deadline in milliseconds", 0);
+		return false;
+	}
+	e->deadline = e->started + (clk_ms)ms;
+	e->deadline_utc = clk_utc() + (clk_ms)ms;
+	return true;
+}
+
+static bool parse_ids(struct entry *e)
+{
+	if (e->svc->keyed && e->key.len == 0) {
+		entry_refuse(e, 400, "this service is divided by key and x-key is missing",
+			     "send the key in the header x-key", 0);
+		return false;
+	}
+	if (e->request_id.len && !valid_request_id(e->request_id)) {
+		e->request_id = STR_NULL;
+		entry_refuse(e, 400, "x-request-id is not 8 to 64 characters of A-Z a-z 0-9 . _ -",
+			     "send a random id, and the same id when the request is repeated", 0);
+		return false;
+	}
+	if (!e->idempotent && e->request_id.len == 0) {
+		entry_refuse(e, 400, "this route is not idempotent and x-request-id is missing",
+			     "send a random id, and the same id when the request is repeated", 0);
+		return false;
+	}
+	e->key_hash = str_hash(e->key);
+	e->request_id_hash = e->request_id.len ? str_hash(e->request_id) : 0;
+	return true;
+}
+
+/* ---- which region serves it -------------------------------------------------------------------
+ */
+
+static bool contains(char *const *list, size_t n, const char *id)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (strcmp(list[i], id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Region that serves the request; NULL if the service stands in none that may. */
+static const char *serving_region(const struct entry *e, const Bc__Service *conf)
+{
+	const Bc__Config *c = e->node->config;
+	const char *own = e->node->settings->region;
+	bool homed;
+
+	if (!e->homed && conf->keyed)
+		return config_partition_region(c, conf, e->partition);
+	/* Restricted keys have one region each, so that they have one owner. */
+	if (!conf->keyed && contains(conf->regions, conf->n_regions, own))
+		return own;
+	for (size_t i = 0; i < conf->n_regions; i++) {
+		if (!e->homed ||
+		    config_home_allows(c, e->route, e->account, str_from(conf->regions[i]), &homed))
+			return conf->regions[i];
+	}
+	return NULL;
+}
+
+static void on_relayed(void *data, enum relay_result result, const struct entry_answer *answer)
+{
+	struct entry *e = data;
+
+	e->relay = 0;
+	switch (result) {
+	case RELAY_ANSWERED:
+		entry_finish(e, answer);
+		break;
+	case RELAY_NOT_SENT_UNREACHABLE:
+		entry_refuse(e, 503, "the region that serves this key cannot be reached",
+			     "try again later", 1000);
+		break;
+	case RELAY_NOT_SENT_BUDGET:
+		entry_refuse(e, 503, "the link between the regions is at its limit",
+			     "try again later", 1000);
+		break;
+	case RELAY_UNKNOWN:
+		e->maybe_ran = true;
+		entry_refuse(e, 504, "no answer from the region that serves this key", "", 0);
+		break;
+	}
+}
+
+static void start_relay(struct entry *e, const char *region)
+{
+	uint64_t id;
+
+	if (e->in.relayed) {
+		entry_refuse(e, 503, "this region does not serve the key", "send it again", 1000);
+		return;
+	}
+	id = relay_send(e->node->relays, str_from(region), &e->in, e->deadline - e->started,
+			on_relayed, e);
+	if (!e->finished)
+		e->relay = id;
+}
+
+/* ---- start ------------------------------------------------------------------------------------
+ */
+
+static bool check_home(struct entry *e)
+{
+	const Bc__Config *c = e->node->config;
+
+	e->account = find_header(&e->in, "x-account");
+	if (config_home_allows(c, e->route, e->account, str_from(e->node->settings->region),
+			       &e->homed))
+		return true;
+	refuse_wrong_region(e, config_home_region(c, e->route, e->account));
+	return false;
+}
+
+static void route_request(struct entry *e)
+{
+	struct node *n = e->node;
+	const Bc__Service *conf;
+	const char *region;
+
+	if (!n->config) {
+		entry_refuse(e, 503, "no configuration yet", "try again later", 1000);
+		return;
+	}
+	e->route = config_route(n->config, e->in.path);
+	if (!e->route) {
+		entry_refuse(e, 404, "no route matches this path",
+			     "check the path, or have an operator add the route", 0);
+		return;
+	}
+	if (!check_home(e))
+		return;
+	conf = config_service(n->config, str_from(e->route->service));
+	e->svc = svc_find(n, str_from(e->route->service));
+	e->idempotent = e->route->idempotent;
+	e->key = find_header(&e->in, "x-key");
+	e->request_id = find_header(&e->in, "x-request-id");
+	if (!conf || !e->svc || !parse_timeout(e) || !parse_ids(e))
+		return;
+	if (conf->keyed)
+		e->partition = config_partition(conf, e->key_hash);
+	/* The body is copied only now: nothing of a misdirected request is kept. */
+	e->in.body = arena_str(&e->arena, e->in.body);
+	e->fingerprint = fingerprint(e);
+	region = serving_region(e, conf);
+	if (!region)
+		entry_refuse(e, 503, "the service stands in none of the home regions",
+			     "have an operator add upstreams there", 0);
+	else if (strcmp(region, n->settings->region) != 0)
+		start_relay(e, region);
+	else
+		entry_ask(e, &e->calls[0]);
+}
+
+struct entry *entry_start(struct entry_list *list, const struct entry_input *in,
+			  const struct entry_source *source, void *data)
+{
+	struct entry *e = calloc(1, sizeof(*e));
+
+	ctr_inc(&ctr_requests);
+	e->list = list;
+	e->node = list->node;
+	e->source = source;
+	e->data = data;
+	e->started = clk_now();
+	e->calls[0].entry = e;
+	e->calls[1].entry = e;
+	e->calls[1].hedge = true;
+	e->next = list->entries;
+	list->entries = e;
+	list->open++;
+	copy_input(e, in);
+	route_request(e);
+	return e;
+}
+
+/* ---- HTTP callers -----------------------------------------------------------------------------
+ */
+
+struct http_caller {
+	h2o_req_t *req;
+	struct entry *entry;
+};
+
+static void reply_http(void *data, const struct entry_answer *a)
+{
+	struct http_caller *h = data;
+	struct listener_header *headers = calloc(a->n_headers + 1, sizeof(*headers));
+	size_t n = 0;
+
+	for (size_t i = 0; i < a->n_headers; i++)
+		headers[n++] = (struct listener_header){a->headers[i].name, a->headers[i].value};
+	if (a->status < 500 && a->status != 421)
+		ctr_inc(&ctr_completed);
+	h->entry = NULL;
+	listener_reply(h->req, a->status, headers, n, a->body);
+	free(headers);
+}
+
+static const struct entry_source http_source = {.reply = reply_http};
+
+static void on_http_gone(void *data)
+{
+	struct http_caller *h = data;
+
+	if (h->entry)
+		entry_abandon(h->entry);
+	free(h);
+}
+
+void entry_on_http(void *data, h2o_req_t *req)
+{
+	struct node *n = data;
+	struct http_caller *h = calloc(1, sizeof(*h));
+	struct entry_input in = {
+		.method = listener_str(req->method),
+		.path = listener_str(req->path),
+		.body = listener_str(req->entity),
+	};
+	struct upconn_header *headers = calloc(req->headers.size + 1, sizeof(*headers));
+	struct entry *e;
+
+	for (size_t i = 0; i < req->headers.size; i++) {
+		headers[i].name = listener_str(*req->headers.entries[i].name);
+		headers[i].value = listener_str(req->headers.entries[i].value);
+	}
+	in.headers = headers;
+	in.n_headers = req->headers.size;
+	h->req = req;
+	listener_watch(req, on_http_gone, h);
+	if (n->draining)
+		req->http1_is_persistent = 0;
+	e = entry_start(n->entries, &in, &http_source, h);
+	if (!e->finished)
+		h->entry = e;
+	free(headers);
+	log_debug(&log, "request for %.*s", STR_ARG(in.path));
+}
--- /dev/null
+++ b/src/request/opreq.c
@@ -0,0 +1,527 @@
+#include "request/opreq.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "process/mover.h"
+#include "process/svc.h"
+#include "version/config.h"
+#include "version/plan.h"
+
+static const struct log log = {"opreq"};
+
+CTR(ctr_denied, "operator_requests_denied_total", "Operators' calls without the credential");
+
+#define MAX_ASSIGNS 256
+
+/* ---- answers ----------------------------------------------------------------------------------
+ */
+
+static void reply(h2o_req_t *req, int status, const char *type, struct str body)
+{
+	struct listener_header h = {STR_LIT("content-type"), str_from(type)};
+
+	listener_reply(req, status, &h, 1, body);
+}
+
+static void reply_json(h2o_req_t *req, int status, json_t *root)
+{
+	char *text = json_dumps(root, JSON_INDENT(2));
+
+	reply(req, status, "application/json", str_from(text));
+	free(text);
+	json_decref(root);
+}
+
+static void reply_error(h2o_req_t *req, int status, const char *error, const char *remedy)
+{
+	reply_json(req, status, json_pack("{s:s, s:s}", "error", error, "remedy", remedy));
+}
+
+static int status_of(enum err_kind kind)
+{
+	switch (kind) {
+	case ERR_INPUT:
+	case ERR_SETTINGS:
+		return 400;
+	case ERR_NOT_FOUND:
+		return 404;
+	case ERR_CONFLICT:
+		return 409;
+	case ERR_DENIED:
+		return 401;
+	case ERR_UNAVAILABLE:
+		return 503;
+	default:
+		return 500;
+	}
+}
+
+/* ---- status -----------------------------------------------------------------------------------
+ */
+
+static const char *state_name(enum broker_upstream_state state)
+{
+	static const char *const names[] = {
+		[BROKER_COLD] = "cold", [BROKER_WARM] = "warm", [BROKER_DRAINING] = "draining",
+		[BROKER_OUT] = "out",	[BROKER_LOST] = "lost",
+	};
+
+	return names[state];
+}
+
+static const char *node_name(const struct node *n, uint64_t node)
+{
+	const struct peer_info *p;
+
+	if (node == n->self)
+		return n->settings->id;
+	p = peer_find(n->peers, node);
+	return p ? p->id : "";
+}
+
+#define MAX_LOADS 4096
+
+static json_t *status_upstreams(const struct svc *s)
+{
+	struct broker_load *loads = calloc(MAX_LOADS, sizeof(*loads));
+	size_t n = broker_loads(s->broker, loads, MAX_LOADS);
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < n && i < MAX_LOADS; i++) {
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:i, s:i, s:i, s:I, s:I}", "id",
+						node_upstream_id(s->node, loads[i].num), "state",
+						state_name(loads[i].state), "limit",
+						(int)loads[i].limit, "in_use", (int)loads[i].in_use,
+						"queued", (int)loads[i].queued, "service_p50_ms",
+						(json_int_t)loads[i].service_p50, "completed",
+						(json_int_t)loads[i].completed));
+	}
+	free(loads);
+	return list;
+}
+
+static json_t *status_service(const struct svc *s, clk_ms now)
+{
+	json_t *o = json_pack("{s:s, s:s, s:b}", "service", s->name, "broker",
+			      node_name(s->node, svc_holder(s, now)), "here", s->held);
+
+	if (s->held)
+		json_object_set_new(o, "lease", json_integer((json_int_t)lease_number(s->lease)));
+	if (s->assign_row)
+		json_object_set_new(o, "assign_version",
+				    json_integer((json_int_t)doc_version(s->node->docs,
+									 str_from(s->assign_row))));
+	if (s->mover)
+		json_object_set_new(o, "moves",
+				    json_integer((json_int_t)mover_active_moves(s->mover)));
+	if (s->broker) {
+		json_object_set_new(o, "queued",
+				    json_integer((json_int_t)broker_queued(s->broker)));
+		json_object_set_new(o, "upstreams", status_upstreams(s));
+	}
+	return o;
+}
+
+static json_t *status_routers(const struct node *n, clk_ms now)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; n->cell && i < n->cell->n_members; i++) {
+		const Bc__Member *m = n->cell->members[i];
+		uint64_t node = member_node(m->id, m->incarnation);
+		bool self = node == n->self;
+		uint64_t version =
+			self ? (n->config ? n->config->version : 0) : node_peer_config(n, node);
+
+		json_array_append_new(
+			list, json_pack("{s:s, s:s, s:I, s:b, s:I}", "id", m->id, "failure_domain",
+					m->failure_domain, "config_version", (json_int_t)version,
+					"connected", self || peer_find(n->peers, node) != NULL,
+					"silent_ms",
+					(json_int_t)(self ? 0 : now - node_last_heard(n, node))));
+	}
+	return list;
+}
+
+static void add_alarm(json_t *list, const char *alarm, const char *detail)
+{
+	json_array_append_new(list, json_pack("{s:s, s:s}", "alarm", alarm, "detail", detail));
+}
+
+/* The names are those of the checklist in docs/operators.md. */
+static json_t *status_alarms(const struct node *n, clk_ms now)
+{
+	json_t *list = json_array();
+
+	if (!n->config)
+		add_alarm(list, "no-configuration", "this router holds no configuration");
+	if (!store_reachable(n->store))
+		add_alarm(list, "store-unreachable", "the table service does not answer");
+	if (!n->is_member)
+		add_alarm(list, "not-a-member", "this router is not a member of its cell");
+	for (const struct svc *s = n->services; s; s = s->next) {
+		if (!svc_holder(s, now))
+			add_alarm(list, "no-broker", s->name);
+		for (const struct svc_upstream *u = s->upstreams; s->broker && u; u = u->next) {
+			if (u->usable && u->health.state == HEALTH_LOST)
+				add_alarm(list, "upstream-lost", node_upstream_id(n, u->num));
+		}
+	}
+	return list;
+}
+
+static void on_status(struct node *n, h2o_req_t *req)
+{
+	clk_ms now = clk_now();
+	json_t *services = json_array();
+	json_t *root;
+
+	for (const struct svc *s = n->services; s; s = s->next)
+		json_array_append_new(services, status_service(s, now));
+	root = json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:b, s:b, s:b, s:I}", "id",
+			 n->settings->id, "incarnation", n->incarnation, "region",
+			 n->settings->region, "failure_domain", n->settings->failure_domain,
+			 "config_version", (json_int_t)(n->config ? n->config->version : 0),
+			 "cell_version", (json_int_t)(n->cell ? n->cell->version : 0), "member",
+			 n->is_member, "draining", n->draining, "store_reachable",
+			 store_reachable(n->store), "link_bytes_relay",
+			 (json_int_t)peer_remote_bytes(n->peers, "relay"));
+	json_object_set_new(root, "alarms", status_alarms(n, now));
+	json_object_set_new(root, "routers", status_routers(n, now));
+	json_object_set_new(root, "services", services);
+	reply_json(req, 200, root);
+}
+
+/* ---- configuration, events, counters ----------------------------------------------------------
+ */
+
+static void on_config(struct node *n, h2o_req_t *req)
+{
+	struct listener_header h[2] = {{STR_LIT("content-type"), STR_LIT("application/yaml")}};
+	char version[24];
+	char *text;
+
+	if (!n->config) {
+		reply_error(req, 503, "this router holds no configuration yet",
+			    "create one with: bamboocroft-ctl plan apply --file FILE");
+		return;
+	}
+	snprintf(version, sizeof(version), "%" PRIu64, n->config->version);
+	h[1].name = STR_LIT("x-config-version");
+	h[1].value = str_from(version);
+	text = config_to_yaml(n->config);
+	listener_reply(req, 200, h, 2, str_from(text));
+	free(text);
+}
+
+static uint64_t query_number(struct str path, const char *name)
+{
+	struct str rest;
+	uint64_t value = 0;
+
+	str_split(path, '?', &rest);
+	while (rest.len) {
+		struct str pair = str_split(rest, '&', &rest);
+		struct str text;
+
+		if (str_eq_cstr(str_split(pair, '=', &text), name))
+			str_to_u64(text, UINT64_MAX, &value);
+	}
+	return value;
+}
+
+static void on_events(struct node *n, h2o_req_t *req)
+{
+	struct str path = listener_str(req->path);
+	char *text = NULL;
+	size_t len = 0;
+	FILE *f = open_memstream(&text, &len);
+
+	event_write(n->events, f, query_number(path, "since"), query_number(path, "homed") == 1);
+	fclose(f);
+	reply(req, 200, "application/x-ndjson", (struct str){text, len});
+	free(text);
+}
+
+static void on_metrics(struct node *n, h2o_req_t *req)
+{
+	static const char *const causes[] = {"relay", "doc", "heartbeat", "other"};
+	char *text = NULL;
+	size_t len = 0;
+	FILE *f = open_memstream(&text, &len);
+
+	ctr_render(f);
+	fputs("# HELP bamboocroft_link_bytes_total Bytes sent to other regions\n"
+	      "# TYPE bamboocroft_link_bytes_total counter\n",
+	      f);
+	for (size_t i = 0; i < sizeof(causes) / sizeof(causes[0]); i++)
+		fprintf(f, "bamboocroft_link_bytes_total{cause=\"%s\"} %" PRIu64 "\n", causes[i],
+			peer_remote_bytes(n->peers, causes[i]));
+	fclose(f);
+	reply(req, 200, "text/plain; version=0.0.4", (struct str){text, len});
+	free(text);
+}
+
+/* ---- plans ------------------------------------------------------------------------------------
+ */
+
+static const char *json_text(const json_t *root, const char *name)
+{
+	const char *text = json_string_value(json_object_get(root, name));
+
+	return text ? text : "";
+}
+
+/* Assignments that this router holds, for the effect of a plan on keys. */
+static size_t unpack_assigns(const struct node *n, Bc__Assign **out)
+{
+	size_t count = 0;
+
+	for (const struct doc *d = doc_first(n->docs); d && count < MAX_ASSIGNS; d = d->next) {
+		Bc__Assign *a;
+
+		if (!str_starts_with(d->row, STR_LIT("assign/")))
+			continue;
+		a = bc__assign__unpack(NULL, d->body.len, (const uint8_t *)d->body.ptr);
+		if (a)
+			out[count++] = a;
+	}
+	return count;
+}
+
+static bool make_plan(struct node *n, struct arena *arena, const json_t *root, struct plan *plan,
+		      struct err *err)
+{
+	Bc__Assign *assigns[MAX_ASSIGNS];
+	size_t n_assigns = unpack_assigns(n, assigns);
+	Bc__Config empty = BC__CONFIG__INIT;
+	struct plan_inputs in = {
+		.config = n->config ? n->config : &empty,
+		.assigns = (const Bc__Assign *const *)assigns,
+		.n_assigns = n_assigns,
+	};
+	struct plan_request req = {
+		.intent = str_from(json_text(root, "intent")),
+		.yaml = str_from(json_text(root, "yaml")),
+		.version = (uint64_t)json_integer_value(json_object_get(root, "version")),
+		.operator_name = str_from(json_text(root, "operator")),
+	};
+	bool ok;
+
+	if (req.version == 0)
+		req.version = in.config->version;
+	ok = plan_make(arena, &in, &req, clk_utc(), plan, err);
+	for (size_t i = 0; i < n_assigns; i++)
+		bc__assign__free_unpacked(assigns[i], NULL);
+	return ok;
+}
+
+static void on_plan(struct node *n, h2o_req_t *req, const json_t *root)
+{
+	struct arena arena = ARENA_INIT;
+	struct plan plan = {0};
+	struct err err = {0};
+
+	if (!make_plan(n, &arena, root, &plan, &err)) {
+		reply_error(req, status_of(err.kind), err.msg, "correct the intent and plan again");
+	} else {
+		reply_json(req, 200,
+			   json_pack("{s:s, s:I, s:b, s:s, s:s}", "plan", plan.id.ptr, "version",
+				     (json_int_t)plan.version, "refused", plan.refused, "refusal",
+				     plan.refusal.ptr ? plan.refusal.ptr : "", "text",
+				     plan.text.ptr ? plan.text.ptr : ""));
+	}
+	if (plan.result)
+		config_free(plan.result);
+	arena_free(&arena);
+}
+
+/*
+ * A confirmation whose write is under way. It ends when both the write has a result and the
+ * operator's request was disposed of, in either order.
+ */
+struct confirm {
+	struct node *node;
+	h2o_req_t *req; /* NULL once the connection is gone */
+	bool written;
+	uint8_t *body;
+	size_t len;
+	char plan[17];
+};
+
+static void free_confirm(struct confirm *c)
+{
+	free(c->body);
+	free(c);
+}
+
+static void on_confirm_gone(void *data)
+{
+	struct confirm *c = data;
+
+	c->req = NULL;
+	if (c->written)
+		free_confirm(c);
+}
+
+static void reply_done(h2o_req_t *req, const char *result, uint64_t version)
+{
+	reply_json(req, 200,
+		   json_pack("{s:s, s:I}", "result", result, "version", (json_int_t)version));
+}
+
+static void reply_confirm(h2o_req_t *req, enum store_write_result result, uint64_t version)
+{
+	switch (result) {
+	case STORE_WRITTEN:
+		reply_done(req, "done", version);
+		break;
+	case STORE_CONFLICT:
+		reply_error(req, 409, "another configuration was confirmed first; nothing changed",
+			    "read it with: bamboocroft-ctl show; then plan again");
+		break;
+	case STORE_NOT_WRITTEN:
+		reply_error(req, 503, "the table service cannot be reached; nothing changed",
+			    "confirm the same plan again later");
+		break;
+	case STORE_UNKNOWN:
+		reply_error(req, 504, "it is not known whether the plan took effect",
+			    "confirm the same plan again: it is never done twice");
+		break;
+	}
+}
+
+static void on_confirm_written(void *data, enum store_write_result result, uint64_t version)
+{
+	struct confirm *c = data;
+
+	c->written = true;
+	log_info(&log, "confirmation of plan %s ended with result %d", c->plan, (int)result);
+	if (result == STORE_WRITTEN) {
+		struct event ev = {.module = "plan", .kind = "plan-confirmed", .version = version};
+
+		ev.plan = str_from(c->plan);
+		event_emit(c->node->events, &ev);
+		node_put_doc(c->node, STR_LIT("config"), version,
+			     (struct str){(char *)c->body, c->len}, "written");
+	}
+	if (c->req)
+		reply_confirm(c->req, result, version);
+	else
+		free_confirm(c);
+}
+
+static void write_config(struct node *n, h2o_req_t *req, const struct plan *plan)
+{
+	struct confirm *c = calloc(1, sizeof(*c));
+
+	c->node = n;
+	c->req = req;
+	c->len = bc__config__get_packed_size(plan->result);
+	c->body = malloc(c->len + 1);
+	bc__config__pack(plan->result, c->body);
+	snprintf(c->plan, sizeof(c->plan), "%s", plan->id.ptr);
+	listener_watch(req, on_confirm_gone, c);
+	store_write(n->store, STR_LIT("config"), plan->version,
+		    (struct str){(char *)c->body, c->len}, on_confirm_written, c);
+}
+
+static void on_confirm(struct node *n, h2o_req_t *req, const json_t *root)
+{
+	struct arena arena = ARENA_INIT;
+	struct plan plan = {0};
+	struct err err = {0};
+	const char *id = json_text(root, "plan");
+	const Bc__PlanRecord *done = n->config ? plan_find(n->config, str_from(id)) : NULL;
+
+	if (done)
+		reply_done(req, "already-done", done->version);
+	else if (!make_plan(n, &arena, root, &plan, &err))
+		reply_error(req, status_of(err.kind), err.msg, "plan again and read the new plan");
+	else if (!str_eq_cstr(plan.id, id))
+		reply_error(req, 409, "this is not the plan that was shown",
+			    "plan again and confirm the plan that is printed");
+	else if (plan.refused)
+		reply_error(req, 409, "this plan is refused", plan.refusal.ptr);
+	else
+		write_config(n, req, &plan);
+	if (plan.result)
+		config_free(plan.result);
+	arena_free(&arena);
+}
+
+/* ---- dispatch ---------------------------------------------------------------------------------
+ */
+
+/* Compares in constant time, so that the credential cannot be guessed byte by byte. */
+static bool has_credential(const struct node *n, const h2o_req_t *req)
+{
+	struct str given = listener_header(req, "authorization");
+	struct str want = str_from(n->settings->operator_credential);
+	const struct str prefix = STR_LIT("Bearer ");
+	unsigned char diff = 0;
+
+	if (!str_starts_with(given, prefix) || given.len != prefix.len + want.len)
+		return false;
+	for (size_t i = 0; i < want.len; i++)
+		diff |= (unsigned char)given.ptr[prefix.len + i] ^ (unsigned char)want.ptr[i];
+	return diff == 0;
+}
+
+static void with_json(struct node *n, h2o_req_t *req,
+		      void (*handle)(struct node *, h2o_req_t *, const json_t *))
+{
+	json_error_t fault;
+	json_t *root =
+		json_loadb(req->entity.base ? req->entity.base : "", req->entity.len, 0, &fault);
+
+	if (!json_is_object(root))
+		reply_error(req, 400, "the body is not a JSON object",
+			    "use bamboocroft-ctl, or see docs/operators.md");
+	else
+		handle(n, req, root);
+	json_decref(root);
+}
+
+static const struct {
+	const char *method;
+	const char *path;
+	void (*plain)(struct node *, h2o_req_t *);
+	void (*json)(struct node *, h2o_req_t *, const json_t *);
+} calls[] = {
+	{"GET", "/status", on_status, NULL}, {"GET", "/config", on_config, NULL},
+	{"GET", "/events", on_events, NULL}, {"GET", "/metrics", on_metrics, NULL},
+	{"POST", "/plan", NULL, on_plan},    {"POST", "/confirm", NULL, on_confirm},
+};
+
+void opreq_on_http(void *data, h2o_req_t *req)
+{
+	struct node *n = data;
+	struct str rest;
+	struct str path = str_split(listener_str(req->path), '?', &rest);
+
+	if (!has_credential(n, req)) {
+		ctr_inc(&ctr_denied);
+		reply_error(req, 401, "the operators' credential is missing or wrong",
+			    "send authorization: Bearer with the credential of the settings");
+		return;
+	}
+	for (size_t i = 0; i < sizeof(calls) / sizeof(calls[0]); i++) {
+		if (!str_eq_cstr(listener_str(req->method), calls[i].method) ||
+		    !str_eq_cstr(path, calls[i].path))
+			continue;
+		if (calls[i].plain)
+			calls[i].plain(n, req);
+		else
+			with_json(n, req, calls[i].json);
+		return;
+	}
+	reply_error(req, 404, "there is no such call", "the calls are listed in docs/operators.md");
+}
--- /dev/null
+++ b/src/request/opreq.h
@@ -0,0 +1,9 @@
+/* Operators' port: status, configuration, plans, confirmations, events and counters. */
+#ifndef REQUEST_OPREQ_H
+#define REQUEST_OPREQ_H
+
+#include "process/node.h"
+
+void opreq_on_http(void *node, h2o_req_t *req);
+
+#endif
