--- a/src/connection/frame.h
+++ b/src/connection/frame.h
@@ -12,7 +12,8 @@
 #define FRAME_HEADER_BYTES 4
 #define FRAME_MAX_BYTES (32u * 1024 * 1024)
 
-/* Packs `frame` with its header into memory the caller frees with free(). */
+/* Packs `frame` with its header into memory the caller frees with free(); NULL if it is too long.
+ */
 uint8_t *frame_pack(const Bc__Frame *frame, size_t *len);
 
 enum frame_status { FRAME_INCOMPLETE, FRAME_COMPLETE, FRAME_MALFORMED };
--- /dev/null
+++ b/src/connection/timer.c
@@ -0,0 +1,155 @@
+#include "connection/timer.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+struct timer_queue {
+	h2o_loop_t *loop;
+	h2o_timeout_t timeout;
+	h2o_timeout_entry_t entry;
+	struct timer *head; /* sorted by due time */
+	struct timer *tail;
+	size_t users;
+	uint64_t armed_count;
+	bool running;
+	struct timer_queue *next;
+};
+
+static __thread struct timer_queue *queues;
+
+void timer_setup_process(void)
+{
+	h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+	signal(SIGPIPE, SIG_IGN);
+}
+
+void timer_forget_loop(h2o_loop_t *loop)
+{
+	for (struct timer_queue **at = &queues; *at; at = &(*at)->next) {
+		struct timer_queue *q = *at;
+
+		if (q->loop != loop)
+			continue;
+		if (q->users)
+			abort();
+		*at = q->next;
+		h2o_timeout_unlink(&q->entry);
+		h2o_timeout_dispose(loop, &q->timeout);
+		free(q);
+		return;
+	}
+}
+
+static void schedule(struct timer_queue *q)
+{
+	clk_ms delay;
+
+	h2o_timeout_unlink(&q->entry);
+	if (!q->head)
+		return;
+	delay = q->head->due - clk_now();
+	q->timeout.timeout = delay > 0 ? (uint64_t)delay : 0;
+	h2o_timeout_link(q->loop, &q->timeout, &q->entry);
+}
+
+static void unlink_timer(struct timer *t)
+{
+	struct timer_queue *q = t->queue;
+
+	if (t->prev)
+		t->prev->next = t->next;
+	else
+		q->head = t->next;
+	if (t->next)
+		t->next->prev = t->prev;
+	else
+		q->tail = t->prev;
+	t->prev = NULL;
+	t->next = NULL;
+	t->armed = false;
+}
+
+static void run_due(h2o_timeout_entry_t *entry)
+{
+	struct timer_queue *q = H2O_STRUCT_FROM_MEMBER(struct timer_queue, entry, entry);
+	clk_ms now = clk_now();
+	/* Timers armed by these callbacks wait for the next round, so that sockets get a turn. */
+	uint64_t until = q->armed_count;
+
+	q->running = true;
+	while (q->head && q->head->due <= now && q->head->armed_at <= until) {
+		struct timer *t = q->head;
+
+		unlink_timer(t);
+		t->cb(t, t->data);
+	}
+	q->running = false;
+	schedule(q);
+}
+
+static struct timer_queue *queue_of(h2o_loop_t *loop)
+{
+	struct timer_queue *q;
+
+	for (q = queues; q; q = q->next) {
+		if (q->loop == loop)
+			return q;
+	}
+	q = calloc(1, sizeof(*q));
+	if (!q)
+		abort();
+	q->loop = loop;
+	h2o_timeout_init(loop, &q->timeout, 0);
+	q->entry.cb = run_due;
+	q->next = queues;
+	queues = q;
+	return q;
+}
+
+void timer_init(struct timer *t, h2o_loop_t *loop, timer_cb cb, void *data)
+{
+	*t = (struct timer){.cb = cb, .data = data, .queue = queue_of(loop)};
+	t->queue->users++;
+}
+
+void timer_arm(struct timer *t, clk_ms delay)
+{
+	struct timer_queue *q = t->queue;
+	struct timer *after;
+
+	if (t->armed)
+		unlink_timer(t);
+	t->due = clk_now() + (delay > 0 ? delay : 0);
+	t->armed_at = ++q->armed_count;
+	t->armed = true;
+	/* Most delays are alike, so the place is near the end. */
+	for (after = q->tail; after && after->due > t->due; after = after->prev)
+		;
+	t->prev = after;
+	t->next = after ? after->next : q->head;
+	if (t->next)
+		t->next->prev = t;
+	else
+		q->tail = t;
+	if (after)
+		after->next = t;
+	else
+		q->head = t;
+	if (q->head == t && !q->running)
+		schedule(q);
+}
+
+void timer_cancel(struct timer *t)
+{
+	if (t->armed)
+		unlink_timer(t);
+}
+
+void timer_release(struct timer *t)
+{
+	if (!t->queue)
+		return;
+	timer_cancel(t);
+	t->queue->users--;
+	t->queue = NULL;
+}
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -1,6 +1,8 @@
 /*
  * HTTP calls to one address (upstream, table service, another router's operators' port) over
- * persistent connections, built on h2o's HTTP/1 client. One request is on a connection at a time.
+ * persistent connections, built on h2o's sockets and HTTP/1 parser; h2o's own HTTP/1 client and
+ * socket pool do not tell whether a connection was reused and do not bound the head of an answer.
+ * One request is on a connection at a time.
  *
  * A connection is used again only after a whole answer with the right `x-request-id` echo (if an
  * id was sent) and nothing left unread. upconn_reset() starts a new generation: idle connections
@@ -78,7 +80,7 @@
 /* Request memory must live until the callback, which always comes later, never from this call. */
 struct upconn_call *upconn_send(struct upconn_pool *pool, const struct upconn_request *req,
 				upconn_cb cb, void *data);
-/* Closes the connection; the callback is not called. */
+/* Closes the connection; the callback is not called. Not for a call whose callback has begun. */
 void upconn_cancel(struct upconn_call *call);
 bool upconn_was_sent(const struct upconn_call *call);
 
--- /dev/null
+++ b/src/process/event.c
@@ -0,0 +1,163 @@
+#include "process/event.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clk.h"
+#include "base/log.h"
+
+/* One kept event; the strings it points to follow it in the same allocation. */
+struct kept {
+	struct event ev;
+	char text[];
+};
+
+struct event_log {
+	char *process;
+	char *incarnation;
+	struct hlc *hlc;
+	struct kept **ring;
+	uint64_t emitted; /* the next event goes to ring[emitted % EVENT_RING] */
+	/* One buffered line at a time, so that each event is one write to standard error. */
+	FILE *line;
+	char *line_text;
+	size_t line_len;
+};
+
+static char *copy_cstr(const char *s)
+{
+	char *copy = strdup(s ? s : "");
+
+	if (!copy)
+		abort();
+	return copy;
+}
+
+struct event_log *event_log_create(const char *process, const char *incarnation, struct hlc *hlc)
+{
+	struct event_log *log = calloc(1, sizeof(*log));
+
+	if (!log)
+		abort();
+	log->process = copy_cstr(process);
+	log->incarnation = copy_cstr(incarnation);
+	log->hlc = hlc;
+	log->ring = calloc(EVENT_RING, sizeof(*log->ring));
+	log->line = open_memstream(&log->line_text, &log->line_len);
+	if (!log->ring || !log->line)
+		abort();
+	return log;
+}
+
+void event_log_destroy(struct event_log *log)
+{
+	if (!log)
+		return;
+	for (size_t i = 0; i < EVENT_RING; i++)
+		free(log->ring[i]);
+	free(log->ring);
+	fclose(log->line);
+	free(log->line_text);
+	free(log->process);
+	free(log->incarnation);
+	free(log);
+}
+
+static void write_str(FILE *out, const char *name, struct str value)
+{
+	if (!value.len)
+		return;
+	fprintf(out, ",\"%s\":\"", name);
+	log_json_escape(out, value);
+	fputc('"', out);
+}
+
+static void write_number(FILE *out, const char *name, uint64_t value)
+{
+	if (value)
+		fprintf(out, ",\"%s\":%" PRIu64, name, value);
+}
+
+static void write_event(const struct event_log *log, FILE *out, const struct event *ev,
+			bool with_homed)
+{
+	fprintf(out, "{\"hlc\":%" PRIu64 ",\"utc_ms\":%" PRId64, ev->hlc, hlc_utc(ev->hlc));
+	write_str(out, "process", str_from(log->process));
+	write_str(out, "incarnation", str_from(log->incarnation));
+	write_str(out, "module", str_from(ev->module));
+	write_str(out, "kind", str_from(ev->kind));
+	write_str(out, "cause", ev->cause);
+	write_str(out, "service", ev->service);
+	if (ev->has_partition)
+		fprintf(out, ",\"partition\":%" PRIu32, ev->partition);
+	write_str(out, "upstream", ev->upstream);
+	write_str(out, "failure_domain", ev->failure_domain);
+	write_str(out, "plan", ev->plan);
+	if (!ev->homed || with_homed)
+		write_str(out, "request_id", ev->request_id);
+	if (ev->homed)
+		fputs(",\"homed\":true", out);
+	write_str(out, "peer", ev->peer);
+	write_number(out, "version", ev->version);
+	write_number(out, "number", ev->number);
+	fputs("}\n", out);
+}
+
+static struct str place(char **at, struct str s)
+{
+	struct str copy = {*at, s.len};
+
+	if (s.len)
+		memcpy(*at, s.ptr, s.len);
+	*at += s.len;
+	return copy;
+}
+
+static struct kept *keep(const struct event *ev)
+{
+	size_t len = ev->cause.len + ev->service.len + ev->upstream.len + ev->failure_domain.len +
+		     ev->plan.len + ev->request_id.len + ev->peer.len;
+	struct kept *k = malloc(sizeof(*k) + len);
+	char *at;
+
+	if (!k)
+		abort();
+	at = k->text;
+	k->ev = *ev;
+	k->ev.cause = place(&at, ev->cause);
+	k->ev.service = place(&at, ev->service);
+	k->ev.upstream = place(&at, ev->upstream);
+	k->ev.failure_domain = place(&at, ev->failure_domain);
+	k->ev.plan = place(&at, ev->plan);
+	k->ev.request_id = place(&at, ev->request_id);
+	k->ev.peer = place(&at, ev->peer);
+	return k;
+}
+
+void event_emit(struct event_log *log, const struct event *ev)
+{
+	struct kept **slot = &log->ring[log->emitted % EVENT_RING];
+
+	free(*slot);
+	*slot = keep(ev);
+	(*slot)->ev.hlc = hlc_next(log->hlc, clk_utc());
+	log->emitted++;
+	/* Log lines may be collected outside the region, so they lack ids of homed requests. */
+	rewind(log->line);
+	write_event(log, log->line, &(*slot)->ev, false);
+	fflush(log->line);
+	fwrite(log->line_text, 1, log->line_len, stderr);
+}
+
+void event_write(const struct event_log *log, FILE *out, uint64_t since, bool with_homed)
+{
+	uint64_t first = log->emitted > EVENT_RING ? log->emitted - EVENT_RING : 0;
+
+	for (uint64_t i = first; i < log->emitted; i++) {
+		const struct event *ev = &log->ring[i % EVENT_RING]->ev;
+
+		if (ev->hlc > since)
+			write_event(log, out, ev, with_homed);
+	}
+}
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -37,7 +37,7 @@
 bool settings_load(const char *path, struct settings *out, struct err *err);
 void settings_free(struct settings *s);
 
-/* "ip:port" with an IP number. */
+/* "ip:port" with an IPv4 number; the caller frees `out->ip`. */
 bool settings_parse_address(struct str text, struct settings_address *out, struct err *err);
 
 #endif
