--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -113,8 +113,17 @@
 struct broker *broker_create(const struct broker_options *opts, uint64_t first_slot, uint64_t seed);
 void broker_destroy(struct broker *b);
 
-/* Adds an upstream or changes it. A limit that falls below the slots in use stops new grants. */
+/*
+ * Adds an upstream or changes it. A limit that falls below the slots in use stops new grants. The
+ * state of a new upstream is taken as given; later, WARM raises nothing: an upstream that is cold
+ * stays so until it has completed enough requests, and one that was draining, out or lost returns
+ * cold. COLD for one that is cold already does not start its limit anew; see broker_note_cold().
+ */
 void broker_set_upstream(struct broker *b, clk_ms now, const struct broker_upstream *u);
+/*
+ * Slots on it no longer count for their partitions: only for an upstream that is declared dead or
+ * gone, or whose fenced grant has expired.
+ */
 void broker_remove_upstream(struct broker *b, clk_ms now, uint32_t num);
 
 /* The upstream turned cold (new start id, health report): its limit starts anew. */
@@ -128,16 +137,23 @@
 		    uint64_t epoch);
 void broker_clear_hot(struct broker *b, clk_ms now, uint64_t key_hash);
 
-/* Slots lent to nodes for this partition (or this hot key) that have not come back. */
+/*
+ * Slots lent to nodes for this partition (or this hot key) that have not come back, also those past
+ * their deadline. They stop counting when they return, when their node is gone and their deadline
+ * has passed, or when the move to another owner is complete. Every adopted slot counts for every
+ * hot key, since its key is not known.
+ */
 size_t broker_slots_in_use(const struct broker *b, uint32_t partition);
 size_t broker_slots_in_use_hot(const struct broker *b, uint64_t key_hash);
+/* Slots that count against the limit of the upstream. */
 size_t broker_slots_on_upstream(const struct broker *b, uint32_t num);
 
 /* Takeover: a slot that another broker lent and an entry still uses. */
 void broker_adopt_slot(struct broker *b, clk_ms now, const struct broker_slot_view *slot);
 /*
  * Takeover: members did not report, so unknown slots may be in use until `until`. Until then cold
- * upstreams get nothing, and broker_slots_in_use() counts one more for every partition.
+ * upstreams get nothing. broker_slots_in_use() counts one more for every partition until
+ * broker_clear_unknown(), because a paused entry may send later than any deadline.
  */
 void broker_hold_unknown(struct broker *b, clk_ms until);
 /* The missing members have reported or are known to be gone. */
--- /dev/null
+++ b/src/process/health.c
@@ -0,0 +1,97 @@
+#include "process/health.h"
+
+#include <string.h>
+
+const struct health_options health_defaults = {
+	.lost_after = 500,
+	.failed_connects = 2,
+	.back_after_probes = 2,
+};
+
+void health_init(struct health *h, clk_ms now)
+{
+	memset(h, 0, sizeof(*h));
+	h->state = HEALTH_UNKNOWN;
+	h->last_sign = now;
+}
+
+/* A sign of life. Only probes bring a lost upstream back: a late answer may precede the loss. */
+static void sign_of_life(struct health *h, clk_ms now)
+{
+	h->last_sign = now;
+	h->first_silent = 0;
+	h->failed_connects = 0;
+	if (h->state == HEALTH_UNKNOWN)
+		h->state = HEALTH_UP;
+}
+
+static void note_start_id(struct health *h, uint64_t start_id, struct health_event *ev)
+{
+	if (start_id == 0 || start_id == h->start_id)
+		return;
+	/* The first one that is seen is news as well: how long it has been running is not known. */
+	h->start_id = start_id;
+	ev->turned_cold = true;
+}
+
+void health_on_answer(struct health *h, clk_ms now, uint64_t start_id, struct health_event *ev)
+{
+	sign_of_life(h, now);
+	note_start_id(h, start_id, ev);
+}
+
+void health_on_probe(struct health *h, clk_ms now, uint64_t start_id, bool cold, bool draining,
+		     struct health_event *ev)
+{
+	sign_of_life(h, now);
+	note_start_id(h, start_id, ev);
+	if (cold && !h->cold)
+		ev->turned_cold = true;
+	h->cold = cold;
+	h->draining = draining;
+	if (h->state != HEALTH_LOST)
+		return;
+	if (++h->good_probes < health_defaults.back_after_probes)
+		return;
+	h->state = HEALTH_UP;
+	h->good_probes = 0;
+	ev->came_back = true;
+	ev->turned_cold = true;
+}
+
+static void lose(struct health *h, struct health_event *ev)
+{
+	h->good_probes = 0;
+	if (h->state == HEALTH_LOST)
+		return;
+	h->state = HEALTH_LOST;
+	ev->became_lost = true;
+}
+
+void health_on_attempt(struct health *h, clk_ms now)
+{
+	if (h->first_silent == 0)
+		h->first_silent = now;
+}
+
+void health_on_connect_failed(struct health *h, clk_ms now, const struct health_options *opts,
+			      struct health_event *ev)
+{
+	health_on_attempt(h, now);
+	h->good_probes = 0;
+	if (++h->failed_connects >= opts->failed_connects)
+		lose(h, ev);
+}
+
+void health_on_broke(struct health *h, clk_ms now, struct health_event *ev)
+{
+	/* It may have crashed; whoever answers next may be a new process. */
+	ev->turned_cold = true;
+}
+
+void health_tick(struct health *h, clk_ms now, const struct health_options *opts,
+		 struct health_event *ev)
+{
+	if (h->first_silent != 0 && now - h->first_silent >= opts->lost_after)
+		lose(h, ev);
+}
--- /dev/null
+++ b/src/process/quarantine.c
@@ -0,0 +1,171 @@
+#include "process/quarantine.h"
+
+#include <stdlib.h>
+
+#include "base/hash.h"
+#include "base/mutant.h"
+
+struct suspect {
+	uint64_t fingerprint;
+	uint32_t crashes;
+	uint32_t in_flight;
+	uint64_t lifted_at; /* newest configuration version that lifted it */
+	clk_ms last;	    /* of the newest crash */
+	UT_hash_handle hh;
+};
+
+struct quarantine {
+	clk_ms window;
+	clk_ms next_end; /* no count ends earlier */
+	struct suspect *suspects;
+};
+
+struct quarantine *quarantine_create(clk_ms window)
+{
+	struct quarantine *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		abort();
+	q->window = window;
+	q->next_end = CLK_NEVER;
+	return q;
+}
+
+void quarantine_destroy(struct quarantine *q)
+{
+	struct suspect *s;
+	struct suspect *tmp;
+
+	if (!q)
+		return;
+	HASH_ITER (hh, q->suspects, s, tmp) {
+		HASH_DEL(q->suspects, s);
+		free(s);
+	}
+	free(q);
+}
+
+static struct suspect *suspect_find(const struct quarantine *q, uint64_t fingerprint)
+{
+	struct suspect *s;
+
+	HASH_FIND(hh, q->suspects, &fingerprint, sizeof(fingerprint), s);
+	return s;
+}
+
+static struct suspect *suspect_get(struct quarantine *q, uint64_t fingerprint)
+{
+	struct suspect *s = suspect_find(q, fingerprint);
+
+	if (s)
+		return s;
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		abort();
+	s->fingerprint = fingerprint;
+	HASH_ADD(hh, q->suspects, fingerprint, sizeof(s->fingerprint), s);
+	return s;
+}
+
+static uint32_t crashes_now(const struct quarantine *q, clk_ms now, const struct suspect *s)
+{
+	return s && now - s->last < q->window ? s->crashes : 0;
+}
+
+static void set_crashes(struct quarantine *q, clk_ms now, struct suspect *s, uint32_t crashes)
+{
+	s->crashes = crashes;
+	s->last = now;
+	if (now + q->window < q->next_end)
+		q->next_end = now + q->window;
+}
+
+uint32_t quarantine_crash(struct quarantine *q, clk_ms now, uint64_t fingerprint)
+{
+	struct suspect *s = suspect_get(q, fingerprint);
+
+	set_crashes(q, now, s, crashes_now(q, now, s) + 1);
+	return s->crashes;
+}
+
+void quarantine_put(struct quarantine *q, clk_ms now, uint64_t fingerprint, uint32_t crashes)
+{
+	struct suspect *s;
+
+	if (crashes == 0)
+		return;
+	s = suspect_get(q, fingerprint);
+	if (crashes > crashes_now(q, now, s))
+		set_crashes(q, now, s, crashes);
+}
+
+bool quarantine_blocks(const struct quarantine *q, clk_ms now, uint64_t fingerprint)
+{
+	return crashes_now(q, now, suspect_find(q, fingerprint)) >= QUARANTINE_CRASHES;
+}
+
+bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint)
+{
+	struct suspect *s = suspect_find(q, fingerprint);
+	uint32_t crashes = crashes_now(q, now, s);
+
+	if (crashes == 0)
+		return true;
+	if (crashes >= QUARANTINE_CRASHES || s->in_flight > 0)
+		return false;
+	s->in_flight++;
+	return true;
+}
+
+void quarantine_returned(struct quarantine *q, clk_ms now, uint64_t fingerprint)
+{
+	struct suspect *s = suspect_find(q, fingerprint);
+
+	/* Requests sent before the first crash were not counted and return as well. */
+	if (s && s->in_flight > 0)
+		s->in_flight--;
+}
+
+void quarantine_lift(struct quarantine *q, uint64_t fingerprint, uint64_t version)
+{
+	struct suspect *s = suspect_get(q, fingerprint);
+
+	/* Every configuration names the lifts of the past again: each version acts once. */
+	if (version <= s->lifted_at)
+		return;
+	s->lifted_at = version;
+	s->crashes = 0;
+}
+
+void quarantine_each(const struct quarantine *q, clk_ms now, quarantine_visit visit, void *data)
+{
+	const struct suspect *s;
+
+	for (s = q->suspects; s; s = s->hh.next) {
+		if (crashes_now(q, now, s) > 0)
+			visit(data, s->fingerprint, s->crashes, now - s->last);
+	}
+}
+
+void quarantine_tick(struct quarantine *q, clk_ms now)
+{
+	struct suspect *s;
+	struct suspect *tmp;
+
+	if (now < q->next_end)
+		return;
+	q->next_end = CLK_NEVER;
+	HASH_ITER (hh, q->suspects, s, tmp) {
+		if (s->crashes > 0 && now - s->last < q->window) {
+			if (s->last + q->window < q->next_end)
+				q->next_end = s->last + q->window;
+			continue;
+		}
+		s->crashes = 0;
+		/* A lift is remembered, or the next configuration would lift a later crash. */
+		if (s->lifted_at == 0 && s->in_flight == 0) {
+			HASH_DEL(q->suspects, s);
+			free(s);
+		}
+	}
+}
