version: configuration model, checks and YAML reader

libyaml's document tree keeps the line of every node, so errors name line, field, fault and remedy; libcyaml was ruled out here because its messages go to a log function and do not cover checks between sections.

Service gets region_weights: with weights that follow the slots, each added upstream would move partitions between regions, and the brokers of two regions do not fence each other. The weights are fixed when the service is added.

--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -1652,7 +1652,7 @@
   (ProtobufCMessageInit) bc__failure_domain__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__service__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bc__service__field_descriptors[7] =
 {
   {
     "id",
@@ -1726,19 +1726,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region_weights",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bc__Service, n_region_weights),
+    offsetof(Bc__Service, region_weights),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__service__field_indices_by_name[] = {
   5,   /* field[5] = cold_step */
   0,   /* field[0] = id */
   1,   /* field[1] = keyed */
   2,   /* field[2] = partitions */
+  6,   /* field[6] = region_weights */
   3,   /* field[3] = regions */
   4,   /* field[4] = timeout_ms */
 };
 static const ProtobufCIntRange bc__service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bc__service__descriptor =
 {
@@ -1748,7 +1761,7 @@
   "Bc__Service",
   "bc",
   sizeof(Bc__Service),
-  6,
+  7,
   bc__service__field_descriptors,
   bc__service__field_indices_by_name,
   1,  bc__service__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -116,10 +116,17 @@
    * completed requests before a cold upstream may take one more
    */
   uint32_t cold_step;
+  /*
+   * Weight of each region for dividing keys, in the order of `regions`. Fixed when the service is
+   * added: if it followed the slots, each new upstream would move partitions between regions,
+   * whose brokers do not fence each other. Empty: slots of the upstreams.
+   */
+  size_t n_region_weights;
+  uint32_t *region_weights;
 };
 #define BC__SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Bc__Route
--- /dev/null
+++ b/src/version/config_yaml.c
@@ -0,0 +1,729 @@
+/*
+ * Reads and writes the configuration as YAML. libyaml's document tree keeps the line of each node,
+ * so that an error can name line and field; a table for each section says which fields there are.
+ */
+#include "version/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <yaml.h>
+
+/* Far above any real file; keeps the parser's memory bounded. */
+#define YAML_MAX_BYTES (4 * 1024 * 1024)
+#define DEFAULT_PARTITIONS 256
+#define DEFAULT_TIMEOUT_MS 2000
+#define DEFAULT_COLD_STEP 20
+
+enum field_type {
+	FIELD_STRING,
+	FIELD_STRINGS,
+	FIELD_NUMBER,
+	FIELD_NUMBERS,
+	FIELD_BOOL,
+	FIELD_ADDRESS, /* "ip:port"; `offset` is the ip, `offset2` the port */
+	FIELD_INTENT,
+};
+
+/* Fields of one section. `offset` points into the protobuf struct; lists have their count at
+ * `offset2`. */
+struct field {
+	const char *name;
+	enum field_type type;
+	size_t offset;
+	size_t offset2;
+	bool required;
+	uint32_t fallback; /* numbers that may be left out */
+};
+
+#define REQUIRED true
+#define OPTIONAL false
+#define ONE(type, member) offsetof(type, member), 0
+#define LIST(type, member) offsetof(type, member), offsetof(type, n_##member)
+
+static const struct field region_fields[] = {
+	{"id", FIELD_STRING, ONE(Bc__Region, id), REQUIRED, 0},
+	{"entries", FIELD_STRINGS, LIST(Bc__Region, entries), OPTIONAL, 0},
+	{NULL},
+};
+
+static const struct field failure_domain_fields[] = {
+	{"id", FIELD_STRING, ONE(Bc__FailureDomain, id), REQUIRED, 0},
+	{"region", FIELD_STRING, ONE(Bc__FailureDomain, region), REQUIRED, 0},
+	{"out", FIELD_BOOL, ONE(Bc__FailureDomain, out), OPTIONAL, 0},
+	{NULL},
+};
+
+static const struct field service_fields[] = {
+	{"id", FIELD_STRING, ONE(Bc__Service, id), REQUIRED, 0},
+	{"keyed", FIELD_BOOL, ONE(Bc__Service, keyed), REQUIRED, 0},
+	{"partitions", FIELD_NUMBER, ONE(Bc__Service, partitions), OPTIONAL, DEFAULT_PARTITIONS},
+	{"regions", FIELD_STRINGS, LIST(Bc__Service, regions), REQUIRED, 0},
+	{"region_weights", FIELD_NUMBERS, LIST(Bc__Service, region_weights), OPTIONAL, 0},
+	{"timeout_ms", FIELD_NUMBER, ONE(Bc__Service, timeout_ms), OPTIONAL, DEFAULT_TIMEOUT_MS},
+	{"cold_step", FIELD_NUMBER, ONE(Bc__Service, cold_step), OPTIONAL, DEFAULT_COLD_STEP},
+	{NULL},
+};
+
+static const struct field route_fields[] = {
+	{"prefix", FIELD_STRING, ONE(Bc__Route, prefix), REQUIRED, 0},
+	{"service", FIELD_STRING, ONE(Bc__Route, service), REQUIRED, 0},
+	{"idempotent", FIELD_BOOL, ONE(Bc__Route, idempotent), REQUIRED, 0},
+	{"home_regions", FIELD_STRINGS, LIST(Bc__Route, home_regions), OPTIONAL, 0},
+	{NULL},
+};
+
+static const struct field account_fields[] = {
+	{"account", FIELD_STRING, ONE(Bc__AccountHome, account), REQUIRED, 0},
+	{"home_regions", FIELD_STRINGS, LIST(Bc__AccountHome, home_regions), REQUIRED, 0},
+	{NULL},
+};
+
+static const struct field upstream_fields[] = {
+	{"id", FIELD_STRING, ONE(Bc__Upstream, id), REQUIRED, 0},
+	{"service", FIELD_STRING, ONE(Bc__Upstream, service), REQUIRED, 0},
+	{"failure_domain", FIELD_STRING, ONE(Bc__Upstream, failure_domain), REQUIRED, 0},
+	{"address", FIELD_ADDRESS, offsetof(Bc__Upstream, ip), offsetof(Bc__Upstream, port),
+	 REQUIRED, 0},
+	{"slots", FIELD_NUMBER, ONE(Bc__Upstream, slots), REQUIRED, 0},
+	{"cold_limit", FIELD_NUMBER, ONE(Bc__Upstream, cold_limit), OPTIONAL, 1},
+	{"checks_grants", FIELD_BOOL, ONE(Bc__Upstream, checks_grants), OPTIONAL, 0},
+	{"intent", FIELD_INTENT, ONE(Bc__Upstream, intent), OPTIONAL, 0},
+	{NULL},
+};
+
+static const char *const intent_names[] = {
+	[BC__UPSTREAM_INTENT__IN] = "in",
+	[BC__UPSTREAM_INTENT__DRAINING] = "draining",
+	[BC__UPSTREAM_INTENT__DEAD] = "dead",
+};
+
+#define N_INTENTS (sizeof(intent_names) / sizeof(intent_names[0]))
+
+struct section {
+	const struct field *fields;
+	const ProtobufCMessageDescriptor *descriptor;
+	size_t list; /* offset of the pointer list in Bc__Config */
+	size_t count;
+	bool required;
+};
+
+static const struct section sections[CONFIG_SECTIONS] = {
+	[CONFIG_REGIONS] = {region_fields, &bc__region__descriptor, LIST(Bc__Config, regions),
+			    REQUIRED},
+	[CONFIG_FAILURE_DOMAINS] = {failure_domain_fields, &bc__failure_domain__descriptor,
+				    LIST(Bc__Config, failure_domains), REQUIRED},
+	[CONFIG_SERVICES] = {service_fields, &bc__service__descriptor, LIST(Bc__Config, services),
+			     REQUIRED},
+	[CONFIG_ROUTES] = {route_fields, &bc__route__descriptor, LIST(Bc__Config, routes),
+			   REQUIRED},
+	[CONFIG_ACCOUNTS] = {account_fields, &bc__account_home__descriptor,
+			     LIST(Bc__Config, account_homes), OPTIONAL},
+	[CONFIG_UPSTREAMS] = {upstream_fields, &bc__upstream__descriptor,
+			      LIST(Bc__Config, upstreams), REQUIRED},
+};
+
+#define MEMBER(ptr, type, offset) (*(type *)((char *)(ptr) + (offset)))
+
+/* ---- memory: what protobuf-c frees later ---- */
+
+static void *zalloc(size_t size)
+{
+	void *p = calloc(1, size ? size : 1);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+static char *dup_str(struct str s)
+{
+	char *p = zalloc(s.len + 1);
+
+	if (s.len)
+		memcpy(p, s.ptr, s.len);
+	return p;
+}
+
+/* ---- reader ---- */
+
+struct reader {
+	yaml_document_t *doc;
+	struct err *err;
+	const char *section;
+};
+
+static unsigned long line_of(const yaml_node_t *node)
+{
+	return (unsigned long)node->start_mark.line + 1;
+}
+
+#define BAD(r, node, field_name, ...)                                                              \
+	(err_set((r)->err, ERR_INPUT, __VA_ARGS__), bad_at((r), (node), (field_name)), false)
+
+static void bad_at(const struct reader *r, const yaml_node_t *node, const char *field)
+{
+	err_prefix(r->err, "line %lu, field %s%s%s", line_of(node), r->section ? r->section : "",
+		   r->section && *field ? "." : "", field);
+}
+
+static struct str scalar(const yaml_node_t *node)
+{
+	return (struct str){(const char *)node->data.scalar.value, node->data.scalar.length};
+}
+
+static const yaml_node_t *map_get(const struct reader *r, const yaml_node_t *map, const char *key)
+{
+	for (yaml_node_pair_t *p = map->data.mapping.pairs.start; p < map->data.mapping.pairs.top;
+	     p++) {
+		const yaml_node_t *k = yaml_document_get_node(r->doc, p->key);
+
+		if (k->type == YAML_SCALAR_NODE && str_eq_cstr(scalar(k), key))
+			return yaml_document_get_node(r->doc, p->value);
+	}
+	return NULL;
+}
+
+static bool read_scalar(const struct reader *r, const yaml_node_t *node, const char *field,
+			struct str *out)
+{
+	if (node->type != YAML_SCALAR_NODE)
+		return BAD(r, node, field, "is a list or mapping; write a single value");
+	*out = scalar(node);
+	if (out->len && memchr(out->ptr, '\0', out->len))
+		return BAD(r, node, field, "has a NUL character; remove it");
+	return true;
+}
+
+static bool read_string(const struct reader *r, const yaml_node_t *node, const char *field,
+			char **out)
+{
+	struct str s;
+
+	if (!read_scalar(r, node, field, &s))
+		return false;
+	if (s.len == 0)
+		return BAD(r, node, field, "is empty; give a value");
+	*out = dup_str(s);
+	return true;
+}
+
+static bool read_number(const struct reader *r, const yaml_node_t *node, const char *field,
+			uint32_t *out)
+{
+	struct str s;
+	uint64_t n;
+
+	if (!read_scalar(r, node, field, &s))
+		return false;
+	if (!str_to_u64(s, UINT32_MAX, &n))
+		return BAD(r, node, field,
+			   "'%.*s' is not a number; write a whole number from 0 to %u",
+			   s.len > 64 ? 64 : (int)s.len, s.ptr, UINT32_MAX);
+	*out = (uint32_t)n;
+	return true;
+}
+
+static bool read_bool(const struct reader *r, const yaml_node_t *node, const char *field,
+		      protobuf_c_boolean *out)
+{
+	struct str s;
+
+	if (!read_scalar(r, node, field, &s))
+		return false;
+	if (!str_eq_cstr(s, "true") && !str_eq_cstr(s, "false"))
+		return BAD(r, node, field, "'%.*s' is not a truth value; write true or false",
+			   s.len > 64 ? 64 : (int)s.len, s.ptr);
+	*out = str_eq_cstr(s, "true");
+	return true;
+}
+
+static bool read_intent(const struct reader *r, const yaml_node_t *node, const char *field,
+			Bc__UpstreamIntent *out)
+{
+	struct str s;
+
+	if (!read_scalar(r, node, field, &s))
+		return false;
+	for (size_t i = 0; i < N_INTENTS; i++) {
+		if (str_eq_cstr(s, intent_names[i])) {
+			*out = (Bc__UpstreamIntent)i;
+			return true;
+		}
+	}
+	return BAD(r, node, field, "'%.*s' is unknown; write in, draining or dead",
+		   s.len > 64 ? 64 : (int)s.len, s.ptr);
+}
+
+static bool read_address(const struct reader *r, const yaml_node_t *node, const char *field,
+			 char **ip, uint32_t *port)
+{
+	struct str s;
+	struct str host;
+	struct str rest;
+	uint64_t n;
+
+	if (!read_scalar(r, node, field, &s))
+		return false;
+	host = str_split(s, ':', &rest);
+	if (host.len == 0 || !str_to_u64(rest, 65535, &n) || n == 0)
+		return BAD(r, node, field,
+			   "'%.*s' is not an address; write ip:port, for example 127.0.1.1:9000",
+			   s.len > 64 ? 64 : (int)s.len, s.ptr);
+	*ip = dup_str(host);
+	*port = (uint32_t)n;
+	return true;
+}
+
+static size_t list_length(const yaml_node_t *node)
+{
+	return (size_t)(node->data.sequence.items.top - node->data.sequence.items.start);
+}
+
+static const yaml_node_t *list_item(const struct reader *r, const yaml_node_t *node, size_t i)
+{
+	return yaml_document_get_node(r->doc, node->data.sequence.items.start[i]);
+}
+
+static bool read_list(const struct reader *r, const yaml_node_t *node, const struct field *f,
+		      void *msg)
+{
+	size_t n;
+	size_t *count = &MEMBER(msg, size_t, f->offset2);
+	void *list;
+
+	if (node->type != YAML_SEQUENCE_NODE)
+		return BAD(r, node, f->name, "is not a list; write [a, b] or one '- value' a line");
+	n = list_length(node);
+	if (n == 0)
+		return true;
+	list = zalloc(n * (f->type == FIELD_STRINGS ? sizeof(char *) : sizeof(uint32_t)));
+	MEMBER(msg, void *, f->offset) = list;
+	for (size_t i = 0; i < n; i++) {
+		const yaml_node_t *item = list_item(r, node, i);
+		bool ok = f->type == FIELD_STRINGS
+				  ? read_string(r, item, f->name, (char **)list + i)
+				  : read_number(r, item, f->name, (uint32_t *)list + i);
+
+		if (!ok)
+			return false;
+		/* Counted one by one, so that a failure frees exactly what was read. */
+		(*count)++;
+	}
+	return true;
+}
+
+static bool read_field(const struct reader *r, const yaml_node_t *node, const struct field *f,
+		       void *msg)
+{
+	switch (f->type) {
+	case FIELD_STRING:
+		return read_string(r, node, f->name, &MEMBER(msg, char *, f->offset));
+	case FIELD_NUMBER:
+		return read_number(r, node, f->name, &MEMBER(msg, uint32_t, f->offset));
+	case FIELD_BOOL:
+		return read_bool(r, node, f->name, &MEMBER(msg, protobuf_c_boolean, f->offset));
+	case FIELD_ADDRESS:
+		return read_address(r, node, f->name, &MEMBER(msg, char *, f->offset),
+				    &MEMBER(msg, uint32_t, f->offset2));
+	case FIELD_INTENT:
+		return read_intent(r, node, f->name, &MEMBER(msg, Bc__UpstreamIntent, f->offset));
+	case FIELD_STRINGS:
+	case FIELD_NUMBERS:
+		return read_list(r, node, f, msg);
+	}
+	return false;
+}
+
+static const struct field *find_field(const struct field *fields, struct str name)
+{
+	for (; fields->name; fields++) {
+		if (str_eq_cstr(name, fields->name))
+			return fields;
+	}
+	return NULL;
+}
+
+/* Unknown and repeated keys are errors: a misspelt field would otherwise be ignored silently. */
+static bool check_keys(const struct reader *r, const yaml_node_t *map,
+		       bool (*known)(const void *data, struct str name), const void *data)
+{
+	const yaml_node_pair_t *start = map->data.mapping.pairs.start;
+	const yaml_node_pair_t *top = map->data.mapping.pairs.top;
+
+	for (const yaml_node_pair_t *p = start; p < top; p++) {
+		const yaml_node_t *key = yaml_document_get_node(r->doc, p->key);
+		struct str name;
+
+		if (!read_scalar(r, key, "", &name))
+			return false;
+		if (!known(data, name))
+			return BAD(r, key, "", "'%.*s' is not a known field; remove or correct it",
+				   name.len > 64 ? 64 : (int)name.len, name.ptr);
+		for (const yaml_node_pair_t *q = start; q < p; q++) {
+			if (str_eq(name, scalar(yaml_document_get_node(r->doc, q->key))))
+				return BAD(r, key, "", "'%.*s' is given twice; remove one",
+					   STR_ARG(name));
+		}
+	}
+	return true;
+}
+
+static bool known_field(const void *data, struct str name)
+{
+	return find_field(data, name) != NULL;
+}
+
+static bool known_section(const void *data, struct str name)
+{
+	for (int i = 0; i < CONFIG_SECTIONS; i++) {
+		if (str_eq_cstr(name, config_section_name((enum config_section)i)))
+			return true;
+	}
+	return false;
+}
+
+static bool read_entry(const struct reader *r, const yaml_node_t *node, const struct section *s,
+		       void *msg)
+{
+	if (node->type != YAML_MAPPING_NODE)
+		return BAD(r, node, "", "is not a mapping; write '- id: ...' with its fields");
+	if (!check_keys(r, node, known_field, s->fields))
+		return false;
+	for (const struct field *f = s->fields; f->name; f++) {
+		const yaml_node_t *value = map_get(r, node, f->name);
+
+		if (value) {
+			if (!read_field(r, value, f, msg))
+				return false;
+		} else if (f->required) {
+			return BAD(r, node, f->name, "is missing; add it");
+		} else if (f->type == FIELD_NUMBER) {
+			MEMBER(msg, uint32_t, f->offset) = f->fallback;
+		}
+	}
+	return true;
+}
+
+static bool read_section(struct reader *r, const yaml_node_t *root, enum config_section which,
+			 Bc__Config *c)
+{
+	const struct section *s = &sections[which];
+	const yaml_node_t *node = map_get(r, root, config_section_name(which));
+	size_t *count = &MEMBER(c, size_t, s->count);
+	ProtobufCMessage **list;
+	size_t n;
+
+	if (!node && !s->required)
+		return true;
+	r->section = NULL;
+	if (!node)
+		return BAD(r, root, config_section_name(which), "is missing; add the section");
+	r->section = config_section_name(which);
+	if (node->type != YAML_SEQUENCE_NODE)
+		return BAD(r, node, "", "is not a list; write one '- id: ...' for each entry");
+	n = list_length(node);
+	list = zalloc(n * sizeof(*list));
+	if (n)
+		MEMBER(c, ProtobufCMessage **, s->list) = list;
+	else
+		free(list);
+	for (size_t i = 0; i < n; i++) {
+		ProtobufCMessage *msg = zalloc(s->descriptor->sizeof_message);
+
+		protobuf_c_message_init(s->descriptor, msg);
+		list[i] = msg;
+		(*count)++;
+		if (!read_entry(r, list_item(r, node, i), s, msg))
+			return false;
+	}
+	return true;
+}
+
+/* ---- values that the file leaves out ---- */
+
+static bool has_field(const struct reader *r, const yaml_node_t *root, enum config_section which,
+		      size_t index, const char *field)
+{
+	const yaml_node_t *list = map_get(r, root, config_section_name(which));
+
+	return map_get(r, list_item(r, list, index), field) != NULL;
+}
+
+static void keep_out(const struct reader *r, const yaml_node_t *root, Bc__Config *c,
+		     const Bc__Config *base)
+{
+	for (size_t i = 0; i < c->n_failure_domains; i++) {
+		Bc__FailureDomain *fd = c->failure_domains[i];
+		const Bc__FailureDomain *old = config_failure_domain(base, str_from(fd->id));
+
+		if (old && !has_field(r, root, CONFIG_FAILURE_DOMAINS, i, "out"))
+			fd->out = old->out;
+	}
+}
+
+static bool same_regions(const Bc__Service *a, const Bc__Service *b)
+{
+	if (a->n_regions != b->n_regions)
+		return false;
+	for (size_t i = 0; i < a->n_regions; i++) {
+		if (strcmp(a->regions[i], b->regions[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
+static uint32_t weight_of(const Bc__Config *c, const Bc__Service *s, size_t region)
+{
+	if (s->n_region_weights == s->n_regions)
+		return s->region_weights[region];
+	return (uint32_t)config_slots(c, str_from(s->id), str_from(s->regions[region]));
+}
+
+/* Weights of the service in force, or the slots that stand in each region when it is new. */
+static void keep_weights(Bc__Config *c, const Bc__Config *base)
+{
+	for (size_t i = 0; i < c->n_services; i++) {
+		Bc__Service *s = c->services[i];
+		const Bc__Service *old = base ? config_service(base, str_from(s->id)) : NULL;
+		bool kept = old && same_regions(s, old);
+		uint32_t *weights;
+
+		if (s->n_region_weights || !s->n_regions)
+			continue;
+		weights = zalloc(s->n_regions * sizeof(*weights));
+		for (size_t j = 0; j < s->n_regions; j++)
+			weights[j] = kept ? weight_of(base, old, j) : weight_of(c, s, j);
+		s->region_weights = weights;
+		s->n_region_weights = s->n_regions;
+	}
+}
+
+static void keep_upstreams(const struct reader *r, const yaml_node_t *root, Bc__Config *c,
+			   const Bc__Config *base)
+{
+	c->next_upstream_num = base && base->next_upstream_num ? base->next_upstream_num : 1;
+	for (size_t i = 0; i < c->n_upstreams; i++) {
+		Bc__Upstream *u = c->upstreams[i];
+		const Bc__Upstream *old =
+			base ? config_upstream_by_id(base, str_from(u->id)) : NULL;
+
+		u->num = old ? old->num : c->next_upstream_num++;
+		if (old && !has_field(r, root, CONFIG_UPSTREAMS, i, "intent"))
+			u->intent = old->intent;
+	}
+}
+
+/* Ledger and lifted fingerprints, through a copy so that every part is owned by `c`. */
+static void keep_history(Bc__Config *c, const Bc__Config *base)
+{
+	Bc__Config *copy = config_copy(base);
+
+	c->version = copy->version;
+	c->ledger = copy->ledger;
+	c->n_ledger = copy->n_ledger;
+	c->lifted = copy->lifted;
+	c->n_lifted = copy->n_lifted;
+	copy->ledger = NULL;
+	copy->n_ledger = 0;
+	copy->lifted = NULL;
+	copy->n_lifted = 0;
+	config_free(copy);
+}
+
+/* ---- whole file ---- */
+
+/* Adds the line to an error of the checks that look at the configuration as a whole. */
+static bool check_with_line(struct reader *r, const yaml_node_t *root, const Bc__Config *c)
+{
+	struct config_fault where;
+	const yaml_node_t *list;
+	const yaml_node_t *node;
+	const yaml_node_t *value;
+
+	if (config_check_where(c, &where, r->err))
+		return true;
+	list = map_get(r, root, config_section_name(where.section));
+	node = list_item(r, list, where.index);
+	value = map_get(r, node, where.field);
+	return err_prefix(r->err, "line %lu", line_of(value ? value : node));
+}
+
+static bool read_document(struct reader *r, Bc__Config *c, const Bc__Config *base)
+{
+	const yaml_node_t *root = yaml_document_get_root_node(r->doc);
+
+	if (!root)
+		return err_set(r->err, ERR_INPUT,
+			       "line 1: the file is empty; write the sections regions, "
+			       "failure_domains, services, routes and upstreams");
+	if (root->type != YAML_MAPPING_NODE)
+		return BAD(r, root, "(top)", "is not a mapping; write 'regions:' and so on");
+	if (!check_keys(r, root, known_section, NULL))
+		return false;
+	for (int i = 0; i < CONFIG_SECTIONS; i++) {
+		if (!read_section(r, root, (enum config_section)i, c))
+			return false;
+	}
+	if (base) {
+		keep_out(r, root, c, base);
+		keep_history(c, base);
+	}
+	keep_upstreams(r, root, c, base);
+	keep_weights(c, base);
+	return check_with_line(r, root, c);
+}
+
+static bool parse(struct str text, yaml_document_t *doc, struct err *err)
+{
+	yaml_parser_t parser;
+	bool ok;
+
+	if (text.len > YAML_MAX_BYTES)
+		return err_set(err, ERR_INPUT, "line 1: the file has %zu bytes; use at most %d",
+			       text.len, YAML_MAX_BYTES);
+	if (!yaml_parser_initialize(&parser))
+		abort();
+	yaml_parser_set_input_string(&parser, (const unsigned char *)(text.len ? text.ptr : ""),
+				     text.len);
+	ok = yaml_parser_load(&parser, doc);
+	if (!ok)
+		err_set(err, ERR_INPUT, "line %lu: is not YAML: %s; correct the syntax there",
+			(unsigned long)parser.problem_mark.line + 1,
+			parser.problem ? parser.problem : "cannot be read");
+	yaml_parser_delete(&parser);
+	return ok;
+}
+
+Bc__Config *config_from_yaml(struct str text, const Bc__Config *base, struct err *err)
+{
+	yaml_document_t doc;
+	struct reader r = {.doc = &doc, .err = err};
+	Bc__Config *c;
+
+	if (!parse(text, &doc, err))
+		return NULL;
+	c = zalloc(sizeof(*c));
+	bc__config__init(c);
+	if (!read_document(&r, c, base)) {
+		config_free(c);
+		c = NULL;
+	}
+	yaml_document_delete(&doc);
+	return c;
+}
+
+/* ---- writer ---- */
+
+/* Every string that passes config_check() is plain except route prefixes, so all are quoted. */
+static void write_string(FILE *out, const char *s)
+{
+	fputc('"', out);
+	for (; *s; s++) {
+		unsigned char c = (unsigned char)*s;
+
+		if (c == '"' || c == '\\')
+			fprintf(out, "\\%c", c);
+		else if (c < 0x20 || c == 0x7f)
+			fprintf(out, "\\x%02x", c);
+		else
+			fputc(c, out);
+	}
+	fputc('"', out);
+}
+
+static void write_list(FILE *out, const struct field *f, const void *msg)
+{
+	size_t n = MEMBER(msg, const size_t, f->offset2);
+
+	fputc('[', out);
+	for (size_t i = 0; i < n; i++) {
+		if (i)
+			fputs(", ", out);
+		if (f->type == FIELD_STRINGS)
+			write_string(out, MEMBER(msg, char **const, f->offset)[i]);
+		else
+			fprintf(out, "%u", MEMBER(msg, uint32_t *const, f->offset)[i]);
+	}
+	fputc(']', out);
+}
+
+static void write_value(FILE *out, const struct field *f, const void *msg)
+{
+	switch (f->type) {
+	case FIELD_STRING:
+		write_string(out, MEMBER(msg, char *const, f->offset));
+		break;
+	case FIELD_NUMBER:
+		fprintf(out, "%u", MEMBER(msg, const uint32_t, f->offset));
+		break;
+	case FIELD_BOOL:
+		fputs(MEMBER(msg, const protobuf_c_boolean, f->offset) ? "true" : "false", out);
+		break;
+	case FIELD_ADDRESS:
+		fprintf(out, "\"%s:%u\"", MEMBER(msg, char *const, f->offset),
+			MEMBER(msg, const uint32_t, f->offset2));
+		break;
+	case FIELD_INTENT:
+		fputs(intent_names[MEMBER(msg, const Bc__UpstreamIntent, f->offset)], out);
+		break;
+	case FIELD_STRINGS:
+	case FIELD_NUMBERS:
+		write_list(out, f, msg);
+		break;
+	}
+}
+
+/* Optional fields at their default are left out, which keeps an operator's file short. */
+static bool is_default(const struct field *f, const void *msg)
+{
+	if (f->required)
+		return false;
+	switch (f->type) {
+	case FIELD_NUMBER:
+		return MEMBER(msg, const uint32_t, f->offset) == f->fallback;
+	case FIELD_BOOL:
+		return !MEMBER(msg, const protobuf_c_boolean, f->offset);
+	case FIELD_INTENT:
+		return MEMBER(msg, const Bc__UpstreamIntent, f->offset) == BC__UPSTREAM_INTENT__IN;
+	case FIELD_STRINGS:
+	case FIELD_NUMBERS:
+		return MEMBER(msg, const size_t, f->offset2) == 0;
+	default:
+		return false;
+	}
+}
+
+static void write_section(FILE *out, enum config_section which, const Bc__Config *c)
+{
+	const struct section *s = &sections[which];
+	size_t n = MEMBER(c, const size_t, s->count);
+	void *const *list = MEMBER(c, void **const, s->list);
+
+	fprintf(out, "%s:%s\n", config_section_name(which), n ? "" : " []");
+	for (size_t i = 0; i < n; i++) {
+		const char *separator = "  - {";
+
+		for (const struct field *f = s->fields; f->name; f++) {
+			if (is_default(f, list[i]))
+				continue;
+			fprintf(out, "%s%s: ", separator, f->name);
+			write_value(out, f, list[i]);
+			separator = ", ";
+		}
+		fputs("}\n", out);
+	}
+}
+
+char *config_to_yaml(const Bc__Config *c)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+
+	if (!out)
+		abort();
+	for (int i = 0; i < CONFIG_SECTIONS; i++)
+		write_section(out, (enum config_section)i, c);
+	fclose(out);
+	return text;
+}
