version: assignment planner

Splitting off a key and merging it back count the partition's epoch up too: otherwise a slot lent before the split would still be accepted by the owner of the partition.

--- a/src/version/assign.h
+++ b/src/version/assign.h
@@ -55,14 +55,22 @@
  * Moves that lead from `current` (NULL: nothing is assigned) to a good assignment of the
  * partitions in `mine` (indexed by partition: does this cell serve it). Forced moves come first
  * and are never limited by the budget; they touch only partitions whose owner may not own keys.
- * Returns the number of moves written to `out` (at most `max`).
+ * A partition that is not in `mine` but has an owner is released (`to` is 0). While moves are
+ * forced, the budget is a tenth of them at most. Without any usable upstream nothing moves. When
+ * `loads` has no keys, none is merged back; set `max_voluntary` to 0 until loads were observed.
+ * Moves must be applied in the order given. Returns the number of moves written to `out` (at most
+ * `max`).
  */
 size_t assign_plan(const Bc__Assign *current, const bool *mine, uint32_t partitions,
 		   const struct assign_upstream *ups, size_t n_ups,
 		   const struct assign_loads *loads, const struct assign_options *opts,
 		   struct assign_move *out, size_t max);
 
-/* New document: version + 1, the moves applied, the epoch of each moved unit counted up. */
+/*
+ * New document: version + 1, the moves applied, the epoch of each moved unit counted up. The first
+ * move of a hot key and its merge count the epoch of its partition up as well, so that the epoch
+ * of each single key only grows: stop grants for the whole partition during these two.
+ */
 Bc__Assign *assign_apply(const Bc__Assign *current, const char *region, const char *service,
 			 const struct assign_move *moves, size_t n);
 void assign_free(Bc__Assign *a);
