--- /dev/null
+++ b/standin/grants.c
@@ -0,0 +1,136 @@
+#include "standin/grants.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define KEY_HASH_DIGITS 16
+
+static bool parse_hex(const char *text, uint64_t *out)
+{
+	if (!text || strlen(text) != KEY_HASH_DIGITS ||
+	    strspn(text, "0123456789abcdef") != KEY_HASH_DIGITS)
+		return false;
+	*out = strtoull(text, NULL, 16);
+	return true;
+}
+
+/* Reads [[unit,epoch],...]; units are numbers, or key hashes if `hex`. */
+static bool read_epochs(const json_t *list, bool hex, struct grant_epoch **out, size_t *n)
+{
+	size_t i;
+	json_t *pair;
+
+	*n = json_array_size(list);
+	*out = calloc(*n + 1, sizeof(**out));
+	if (!*out)
+		abort();
+	json_array_foreach(list, i, pair)
+	{
+		const json_t *unit = json_array_get(pair, 0);
+		const json_t *epoch = json_array_get(pair, 1);
+
+		if (json_array_size(pair) != 2 || !json_is_integer(epoch) ||
+		    json_integer_value(epoch) < 0)
+			return false;
+		(*out)[i].epoch = (uint64_t)json_integer_value(epoch);
+		if (hex && !parse_hex(json_string_value(unit), &(*out)[i].unit))
+			return false;
+		if (!hex && (!json_is_integer(unit) || json_integer_value(unit) < 0))
+			return false;
+		if (!hex)
+			(*out)[i].unit = (uint64_t)json_integer_value(unit);
+	}
+	return true;
+}
+
+static enum grant_put take(struct grants *g, json_t *doc, clk_ms now, struct err *err)
+{
+	struct grants next = {0};
+	json_int_t fence = json_integer_value(json_object_get(doc, "fence"));
+	json_int_t ttl = json_integer_value(json_object_get(doc, "ttl_ms"));
+	bool good;
+
+	if ((uint64_t)fence < g->fence)
+		return GRANT_OLD_FENCE;
+	next.fence = (uint64_t)fence;
+	next.expires = now + ttl;
+	next.assign_version = (uint64_t)json_integer_value(json_object_get(doc, "assign_version"));
+	good = read_epochs(json_object_get(doc, "partitions"), false, &next.partitions,
+			   &next.n_partitions);
+	good = read_epochs(json_object_get(doc, "hot"), true, &next.hot, &next.n_hot) && good;
+	if (!good) {
+		free(next.partitions);
+		free(next.hot);
+		err_set(err, ERR_INPUT,
+			"bad list; send \"partitions\":[[number,epoch]] and \"hot\":[[\"16 hex "
+			"digits\",epoch]]");
+		return GRANT_BAD;
+	}
+	free(g->partitions);
+	free(g->hot);
+	*g = next;
+	return GRANT_TAKEN;
+}
+
+static bool is_count(const json_t *doc, const char *name)
+{
+	const json_t *value = json_object_get(doc, name);
+
+	return json_is_integer(value) && json_integer_value(value) >= 0;
+}
+
+enum grant_put grants_put(struct grants *g, const char *service, struct str body, clk_ms now,
+			  struct err *err)
+{
+	json_t *doc = json_loadb(body.ptr, body.len, 0, NULL);
+	const char *named = json_string_value(json_object_get(doc, "service"));
+	enum grant_put result = GRANT_BAD;
+
+	if (!named || !is_count(doc, "fence") || !is_count(doc, "assign_version") ||
+	    !is_count(doc, "ttl_ms") || !json_is_array(json_object_get(doc, "partitions")) ||
+	    !json_is_array(json_object_get(doc, "hot")))
+		err_set(err, ERR_INPUT,
+			"bad grant; send a JSON object with service, fence, assign_version, "
+			"ttl_ms, partitions and hot");
+	else if (strcmp(named, service) != 0)
+		err_set(err, ERR_INPUT, "grant for another service; this upstream serves \"%s\"",
+			service);
+	else
+		result = take(g, doc, now, err);
+	json_decref(doc);
+	return result;
+}
+
+static bool covered(const struct grant_epoch *list, size_t n, uint64_t unit, uint64_t epoch)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (list[i].unit == unit)
+			return list[i].epoch == epoch;
+	}
+	return false;
+}
+
+const char *grants_refuse(const struct grants *g, const struct grant_claim *claim, clk_ms now)
+{
+	if (!g->expires)
+		return "no grant yet";
+	if (now >= g->expires)
+		return "the grant has expired";
+	if (!claim->has_fence)
+		return "no x-fence";
+	if (claim->fence < g->fence)
+		return "x-fence is lower than the granted fence";
+	if (claim->has_key_hash)
+		return covered(g->hot, g->n_hot, claim->key_hash, claim->epoch)
+			       ? NULL
+			       : "split-off key not granted with this epoch";
+	if (claim->has_partition)
+		return covered(g->partitions, g->n_partitions, claim->partition, claim->epoch)
+			       ? NULL
+			       : "partition not granted with this epoch";
+	if (g->n_partitions || g->n_hot)
+		return "no x-partition, but the service is divided by key";
+	return NULL;
+}
--- /dev/null
+++ b/standin/standin_upstream.c
@@ -0,0 +1,641 @@
+/*
+ * Stand-in for an upstream: slots, cold start, drain, cancellation, deadlines, fenced grants,
+ * lagging health and load reports, and a ledger of what it ran.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/log.h"
+#include "base/rnd.h"
+#include "standin/args.h"
+#include "standin/faults.h"
+#include "standin/grants.h"
+#include "standin/httpd.h"
+#include "standin/ledger.h"
+
+#define DEFAULT_SLOTS 2
+#define DEFAULT_SERVICE_MS 10
+#define DEFAULT_COLD_LIMIT 1
+#define DEFAULT_COLD_REQUESTS 20
+#define DEFAULT_LAG_MS 500
+#define MAX_REPORTS 4096
+#define START_ID_BYTES 17
+
+enum state { STATE_COLD, STATE_WARM, STATE_DRAINING };
+
+static const char *const state_names[] = {
+	[STATE_COLD] = "cold",
+	[STATE_WARM] = "warm",
+	[STATE_DRAINING] = "draining",
+};
+
+/* What /health and /load said from a time on. */
+struct report {
+	clk_ms at;
+	enum state state;
+	uint64_t in_use;
+};
+
+struct counts {
+	uint64_t run;
+	uint64_t completed;
+	uint64_t shed;
+	uint64_t not_run;
+	uint64_t cold_violations;
+	uint64_t max_in_use;
+	uint64_t expired;
+	uint64_t cancelled;
+	uint64_t discarded;
+	clk_ms drain_utc_ms;
+	clk_ms last_arrival_utc_ms;
+};
+
+struct upstream {
+	struct httpd *httpd;
+	struct faults faults;
+	struct grants grants;
+	struct ledger ledger;
+	struct counts counts;
+	struct rnd rnd;
+	const char *id;
+	const char *service;
+	char start_id[START_ID_BYTES];
+	uint64_t slots;
+	double service_ms;
+	bool fixed;
+	bool checks_grants;
+	uint64_t cold_limit;
+	uint64_t cold_requests;
+	clk_ms lag_ms;
+	bool cold;
+	bool draining;
+	uint64_t since_cold; /* completed requests */
+	uint64_t in_use;
+	uint64_t wrong_id;
+	double slow_factor;
+	clk_ms slow_for_ms;
+	clk_ms slow_until;
+	char *report_state;    /* NULL: the real one */
+	int64_t report_in_use; /* -1: the real one */
+	size_t starting;       /* ledger number of the request that is being started */
+	struct report reports[MAX_REPORTS];
+	size_t first_report;
+	size_t n_reports;
+};
+
+/* One request that runs. */
+struct work {
+	struct upstream *upstream;
+	size_t number;
+	struct grant_claim claim;
+};
+
+static const struct log lg = {"upstream"};
+
+/* ---- reports ---- */
+
+static enum state current_state(const struct upstream *u)
+{
+	if (u->draining)
+		return STATE_DRAINING;
+	return u->cold ? STATE_COLD : STATE_WARM;
+}
+
+static void note_change(struct upstream *u)
+{
+	size_t slot;
+
+	if (u->n_reports == MAX_REPORTS) {
+		u->first_report = (u->first_report + 1) % MAX_REPORTS;
+		u->n_reports--;
+	}
+	slot = (u->first_report + u->n_reports++) % MAX_REPORTS;
+	u->reports[slot] = (struct report){clk_now(), current_state(u), u->in_use};
+}
+
+/* The newest report that is at least the lag old, or the oldest one. */
+static const struct report *visible_report(struct upstream *u)
+{
+	clk_ms now = clk_now();
+
+	while (u->n_reports > 1 &&
+	       u->reports[(u->first_report + 1) % MAX_REPORTS].at + u->lag_ms <= now) {
+		u->first_report = (u->first_report + 1) % MAX_REPORTS;
+		u->n_reports--;
+	}
+	return &u->reports[u->first_report];
+}
+
+static void add_start_id(struct upstream *u, struct exchange *x)
+{
+	exchange_add_header(x, "x-start-id", str_from(u->start_id));
+}
+
+static void get_health(struct upstream *u, struct exchange *x)
+{
+	const char *state = state_names[visible_report(u)->state];
+
+	faults_answer_json(&u->faults, x, 200,
+			   json_pack("{s:s,s:s,s:I}", "state",
+				     u->report_state ? u->report_state : state, "start_id",
+				     u->start_id, "cold_limit", (json_int_t)u->cold_limit));
+}
+
+static void get_load(struct upstream *u, struct exchange *x)
+{
+	json_int_t in_use = (json_int_t)visible_report(u)->in_use;
+
+	faults_answer_json(&u->faults, x, 200,
+			   json_pack("{s:I,s:I}", "in_use",
+				     u->report_in_use >= 0 ? (json_int_t)u->report_in_use : in_use,
+				     "slots", (json_int_t)u->slots));
+}
+
+static void put_grant(struct upstream *u, struct exchange *x)
+{
+	struct err err;
+
+	if (!u->checks_grants) {
+		exchange_error(x, 404, "this upstream checks no grants",
+			       "start it with --checks-grants or send no grants");
+		return;
+	}
+	switch (grants_put(&u->grants, u->service, x->body, clk_now(), &err)) {
+	case GRANT_TAKEN:
+		faults_answer_json(&u->faults, x, 200,
+				   json_pack("{s:I}", "fence", (json_int_t)u->grants.fence));
+		break;
+	case GRANT_OLD_FENCE:
+		faults_answer_json(&u->faults, x, 409,
+				   json_pack("{s:I}", "fence", (json_int_t)u->grants.fence));
+		break;
+	case GRANT_BAD:
+		exchange_error(x, 400, err.msg, "correct the grant and send it again");
+		break;
+	}
+}
+
+static void perform_report(void *data, struct exchange *x)
+{
+	struct upstream *u = data;
+
+	add_start_id(u, x);
+	if (exchange_is(x, "PUT", "/grant"))
+		put_grant(u, x);
+	else if (exchange_is(x, "GET", "/health"))
+		get_health(u, x);
+	else if (exchange_is(x, "GET", "/load"))
+		get_load(u, x);
+	else
+		exchange_error(x, 405, "no such method",
+			       "use GET /health, GET /load or PUT /grant");
+}
+
+/* ---- work ---- */
+
+/* Refuses before any effect. */
+static void refuse(struct upstream *u, struct exchange *x, int status, const char *error,
+		   const char *remedy)
+{
+	u->counts.not_run++;
+	add_start_id(u, x);
+	exchange_add_header(x, "x-request-id", exchange_header(x, "x-request-id"));
+	exchange_add_header(x, "x-not-run", STR_LIT("1"));
+	faults_answer_json(&u->faults, x, status,
+			   json_pack("{s:s,s:s}", "error", error, "remedy", remedy));
+}
+
+static void shed(struct upstream *u, struct exchange *x, const char *error)
+{
+	u->counts.shed++;
+	exchange_add_header(x, "x-shed", STR_LIT("1"));
+	refuse(u, x, 503, error, "send less at once");
+}
+
+static bool read_number(const struct exchange *x, const char *name, bool *present, uint64_t *out)
+{
+	struct str text = exchange_header(x, name);
+
+	*present = text.len > 0;
+	return !*present || str_to_u64(text, INT64_MAX, out);
+}
+
+static bool read_key_hash(const struct exchange *x, struct grant_claim *claim)
+{
+	struct str text = exchange_header(x, "x-key-hash");
+
+	claim->has_key_hash = text.len > 0;
+	if (!text.len)
+		return true;
+	if (text.len != 16 || strspn(text.ptr, "0123456789abcdef") < 16)
+		return false;
+	claim->key_hash = strtoull(text.ptr, NULL, 16);
+	return true;
+}
+
+/* False if the request was refused because its headers are malformed. */
+static bool read_headers(struct upstream *u, struct exchange *x, struct grant_claim *claim,
+			 struct ledger_entry *entry, uint64_t *deadline)
+{
+	struct str id = exchange_header(x, "x-request-id");
+	struct str key = exchange_header(x, "x-key");
+	bool has_epoch;
+	bool has_deadline;
+
+	if (!read_number(x, "x-epoch", &has_epoch, &claim->epoch) ||
+	    !read_number(x, "x-fence", &claim->has_fence, &claim->fence) ||
+	    !read_number(x, "x-partition", &claim->has_partition, &claim->partition) ||
+	    !read_number(x, "x-deadline", &has_deadline, deadline) || !read_key_hash(x, claim)) {
+		refuse(u, x, 400, "bad header",
+		       "send whole numbers in x-epoch, x-fence, x-partition and x-deadline, and 16 "
+		       "lower-case hex digits in x-key-hash");
+		return false;
+	}
+	if (!has_deadline)
+		*deadline = INT64_MAX;
+	entry->request_id = id.len ? json_stringn(id.ptr, id.len) : json_null();
+	entry->key = key.len ? json_stringn(key.ptr, key.len) : json_null();
+	if (!entry->request_id || !entry->key) {
+		json_decref(entry->request_id);
+		json_decref(entry->key);
+		refuse(u, x, 400, "x-request-id or x-key is not UTF-8", "send UTF-8");
+		return false;
+	}
+	entry->has_partition = claim->has_partition;
+	entry->partition = claim->partition;
+	entry->has_key_hash = claim->has_key_hash;
+	entry->epoch = claim->epoch;
+	entry->fence = claim->fence;
+	return true;
+}
+
+/* Whether the request may run; refuses it otherwise. */
+static bool admit(struct upstream *u, struct exchange *x, const struct grant_claim *claim,
+		  uint64_t deadline)
+{
+	const char *why = u->checks_grants ? grants_refuse(&u->grants, claim, clk_now()) : NULL;
+
+	if (clk_utc() >= (clk_ms)deadline) {
+		u->counts.expired++;
+		refuse(u, x, 503, "the deadline has passed", "send it again with a later deadline");
+		return false;
+	}
+	if (u->draining) {
+		refuse(u, x, 503, "the upstream is draining", "send it to another upstream");
+		return false;
+	}
+	if (why) {
+		refuse(u, x, 503, why, "send it to the owner with its epoch and fence");
+		return false;
+	}
+	if (u->in_use >= u->slots) {
+		shed(u, x, "all slots are in use");
+		return false;
+	}
+	if (u->cold && u->in_use >= u->cold_limit) {
+		/* Overload while cold costs what has been warmed up so far. */
+		u->counts.cold_violations++;
+		u->since_cold = 0;
+		shed(u, x, "more requests at once than a cold upstream can handle");
+		return false;
+	}
+	return true;
+}
+
+static clk_ms service_time(struct upstream *u)
+{
+	double ms = u->service_ms;
+
+	if (!u->fixed)
+		ms *= -log(1.0 - rnd_unit(&u->rnd));
+	if (clk_now() < u->slow_until)
+		ms *= u->slow_factor;
+	return (clk_ms)lround(ms) + u->faults.slow_ms;
+}
+
+static void free_slot(struct upstream *u)
+{
+	u->in_use--;
+	note_change(u);
+}
+
+static void on_cancelled(struct exchange *x)
+{
+	struct work *w = x->user;
+	struct upstream *u = w->upstream;
+
+	u->counts.cancelled++;
+	ledger_end(&u->ledger, w->number, "cancelled");
+	free_slot(u);
+}
+
+static json_t *answer_of(struct upstream *u, const struct exchange *x, const struct work *w,
+			 json_t *id)
+{
+	const struct ledger_entry *e = &u->ledger.entries[w->number];
+	char checksum[17];
+
+	snprintf(checksum, sizeof(checksum), "%016llx", (unsigned long long)str_hash(x->body));
+	return json_pack("{s:s,s:s,s:s,s:O,s:o,s:s,s:I,s:o,s:I}", "upstream", u->id, "service",
+			 u->service, "start_id", u->start_id, "key", e->key, "request_id", id,
+			 "checksum", checksum, "bytes", (json_int_t)x->body.len, "partition",
+			 e->has_partition ? json_integer((json_int_t)e->partition) : json_null(),
+			 "epoch", (json_int_t)e->epoch);
+}
+
+static void answer_completed(struct upstream *u, struct exchange *x, const struct work *w)
+{
+	struct str id = exchange_header(x, "x-request-id");
+
+	if (u->wrong_id) {
+		u->wrong_id--;
+		id = arena_printf(&x->arena, "%.*s-other", STR_ARG(id));
+	}
+	add_start_id(u, x);
+	if (id.len)
+		exchange_add_header(x, "x-request-id", id);
+	faults_answer_json(&u->faults, x, 200,
+			   answer_of(u, x, w, id.len ? json_stringn(id.ptr, id.len) : json_null()));
+}
+
+static void on_done(struct httpd_timer *t)
+{
+	struct exchange *x = H2O_STRUCT_FROM_MEMBER(struct exchange, timer, t);
+	struct work *w = x->user;
+	struct upstream *u = w->upstream;
+	const char *why = u->checks_grants ? grants_refuse(&u->grants, &w->claim, clk_now()) : NULL;
+
+	if (why) {
+		/* The grant was lost while the request ran, so its effect is not committed. */
+		u->counts.discarded++;
+		ledger_end(&u->ledger, w->number, "discarded");
+		free_slot(u);
+		refuse(u, x, 503, why, "send it to the owner with its epoch and fence");
+		return;
+	}
+	ledger_end(&u->ledger, w->number, "completed");
+	u->counts.completed++;
+	if (u->cold && ++u->since_cold >= u->cold_requests)
+		u->cold = false;
+	free_slot(u);
+	answer_completed(u, x, w);
+}
+
+static void before_crash(void *data, const struct exchange *x)
+{
+	struct upstream *u = data;
+
+	ledger_end(&u->ledger, u->starting, "crashed");
+}
+
+static void start_work(struct upstream *u, struct exchange *x)
+{
+	struct work *w = arena_alloc(&x->arena, sizeof(*w));
+	struct ledger_entry entry = {0};
+	uint64_t deadline;
+
+	u->counts.last_arrival_utc_ms = clk_utc();
+	if (!read_headers(u, x, &w->claim, &entry, &deadline))
+		return;
+	if (!admit(u, x, &w->claim, deadline)) {
+		json_decref(entry.request_id);
+		json_decref(entry.key);
+		return;
+	}
+	w->upstream = u;
+	w->number = ledger_start(&u->ledger, &entry);
+	u->starting = w->number;
+	u->counts.run++;
+	if (++u->in_use > u->counts.max_in_use)
+		u->counts.max_in_use = u->in_use;
+	note_change(u);
+	faults_crash(&u->faults, x);
+	x->user = w;
+	x->on_gone = on_cancelled;
+	x->timer.cb = on_done;
+	httpd_timer_start(u->httpd, &x->timer, service_time(u));
+}
+
+static void on_service(void *data, struct exchange *x)
+{
+	struct upstream *u = data;
+
+	if (str_eq_cstr(x->path, "/health") || str_eq_cstr(x->path, "/load") ||
+	    str_eq_cstr(x->path, "/grant"))
+		faults_perform(&u->faults, x, perform_report);
+	else if (!faults_silent(&u->faults, x))
+		start_work(u, x);
+}
+
+/* ---- control port ---- */
+
+static json_t *render_counts(const struct upstream *u)
+{
+	const struct counts *c = &u->counts;
+	json_t *counts = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "upstream", u->id,
+				   "start_id", u->start_id, "state", state_names[current_state(u)],
+				   "in_use", (json_int_t)u->in_use, "run", (json_int_t)c->run,
+				   "completed", (json_int_t)c->completed, "shed",
+				   (json_int_t)c->shed, "not_run", (json_int_t)c->not_run,
+				   "cold_violations", (json_int_t)c->cold_violations);
+	json_t *more = json_pack(
+		"{s:I,s:I,s:I,s:I,s:I,s:I}", "max_in_use", (json_int_t)c->max_in_use, "expired",
+		(json_int_t)c->expired, "cancelled", (json_int_t)c->cancelled, "discarded",
+		(json_int_t)c->discarded, "drain_utc_ms", (json_int_t)c->drain_utc_ms,
+		"last_arrival_utc_ms", (json_int_t)c->last_arrival_utc_ms);
+
+	json_object_update(counts, more);
+	json_decref(more);
+	return counts;
+}
+
+static void get_ledger(struct upstream *u, struct exchange *x)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+
+	ledger_write(&u->ledger, out);
+	fclose(out);
+	exchange_reply(x, 200, "application/x-ndjson", (struct str){text, len});
+	free(text);
+}
+
+static void on_control(void *data, struct exchange *x)
+{
+	struct upstream *u = data;
+
+	if (faults_control(&u->faults, x))
+		return;
+	if (exchange_is(x, "GET", "/ledger"))
+		get_ledger(u, x);
+	else if (exchange_is(x, "GET", "/counts"))
+		exchange_reply_json(x, 200, render_counts(u));
+	else
+		exchange_error(x, 404, "no such path",
+			       "use POST /control, GET /ledger or GET /counts");
+}
+
+static void apply_wrong_id(void *data, const json_t *value)
+{
+	((struct upstream *)data)->wrong_id = (uint64_t)json_integer_value(value);
+}
+
+static void apply_go_cold(void *data, const json_t *value)
+{
+	struct upstream *u = data;
+
+	u->cold = json_is_true(value);
+	u->since_cold = 0;
+	note_change(u);
+}
+
+static void apply_drain(void *data, const json_t *value)
+{
+	struct upstream *u = data;
+
+	u->draining = json_is_true(value);
+	u->counts.drain_utc_ms = u->draining ? clk_utc() : 0;
+	note_change(u);
+}
+
+static void apply_slow_factor(void *data, const json_t *value)
+{
+	struct upstream *u = data;
+
+	u->slow_factor = json_number_value(value);
+	u->slow_until = u->slow_for_ms ? clk_now() + u->slow_for_ms : CLK_NEVER;
+}
+
+static void apply_slow_for(void *data, const json_t *value)
+{
+	struct upstream *u = data;
+
+	u->slow_for_ms = json_integer_value(value);
+	u->slow_until = clk_now() + u->slow_for_ms;
+}
+
+static void apply_health_state(void *data, const json_t *value)
+{
+	struct upstream *u = data;
+	const char *text = json_string_value(value);
+
+	free(u->report_state);
+	u->report_state = *text ? strdup(text) : NULL;
+}
+
+static void apply_load_in_use(void *data, const json_t *value)
+{
+	((struct upstream *)data)->report_in_use = json_integer_value(value);
+}
+
+static void apply_load_real(void *data, const json_t *value)
+{
+	if (json_is_true(value))
+		((struct upstream *)data)->report_in_use = -1;
+}
+
+static const struct fault_switch own_switches[] = {
+	{"wrong_id", FAULT_COUNT, apply_wrong_id},	  /* answers to come with another id */
+	{"go_cold", FAULT_BOOL, apply_go_cold},		  /* without a new start id */
+	{"drain", FAULT_BOOL, apply_drain},		  /* refuses new requests */
+	{"slow_factor", FAULT_FACTOR, apply_slow_factor}, /* straggler ... */
+	{"slow_for_ms", FAULT_COUNT, apply_slow_for},	  /* ... for this time from now */
+	{"health_state", FAULT_TEXT, apply_health_state}, /* what /health claims */
+	{"load_in_use", FAULT_COUNT, apply_load_in_use},  /* what /load claims */
+	{"load_real", FAULT_BOOL, apply_load_real},	  /* ends load_in_use */
+	{NULL, FAULT_BOOL, NULL},
+};
+
+/* Another value in each start, without shared state. */
+static void make_start_id(struct upstream *u)
+{
+	uint64_t mixed = rnd_mix(rnd_mix((uint64_t)clk_utc(), (uint64_t)getpid()),
+				 str_hash(str_from(u->id)));
+
+	snprintf(u->start_id, sizeof(u->start_id), "%016llx", (unsigned long long)mixed);
+}
+
+static bool open_ledger(struct upstream *u, const char *path)
+{
+	u->ledger.upstream = u->id;
+	u->ledger.service = u->service;
+	u->ledger.start_id = u->start_id;
+	if (!*path)
+		return true;
+	u->ledger.file = fopen(path, "ae");
+	if (!u->ledger.file)
+		log_error(&lg, "cannot append to %s: give a path that can be written", path);
+	return u->ledger.file != NULL;
+}
+
+int main(int argc, char **argv)
+{
+	static struct upstream u;
+	struct args_common common = args_common_options();
+	struct arg_str *id = arg_str1(NULL, "id", "ID", "id of the upstream");
+	struct arg_str *service = arg_str1(NULL, "service", "ID", "service it belongs to");
+	struct arg_int *slots = arg_int0(NULL, "slots", "N", "requests at once (default 2)");
+	struct arg_dbl *mean = arg_dbl0(NULL, "service-ms", "MS", "mean service time (default 10)");
+	struct arg_lit *fixed = arg_lit0(NULL, "fixed", "same service time for each request");
+	struct arg_lit *checks = arg_lit0(NULL, "checks-grants", "check fenced grants");
+	struct arg_int *cold = arg_int0(NULL, "cold-limit", "N", "at once while cold (default 1)");
+	struct arg_int *warm = arg_int0(NULL, "cold-requests", "N",
+					"completed requests until warm (default 20, 0: warm)");
+	struct arg_int *lag = arg_int0(NULL, "lag-ms", "MS", "lag of reports (default 500)");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of service times (default 1)");
+	struct arg_str *file = arg_str0(NULL, "ledger", "FILE", "also append the ledger here");
+	struct arg_end *end = arg_end(8);
+	void *options[] = {common.listen, common.control, id,	  service,     slots,
+			   mean,	  fixed,	  checks, cold,	       warm,
+			   lag,		  seed,		  file,	  common.help, end};
+	struct err err;
+
+	slots->ival[0] = DEFAULT_SLOTS;
+	mean->dval[0] = DEFAULT_SERVICE_MS;
+	cold->ival[0] = DEFAULT_COLD_LIMIT;
+	warm->ival[0] = DEFAULT_COLD_REQUESTS;
+	lag->ival[0] = DEFAULT_LAG_MS;
+	seed->ival[0] = 1;
+	file->sval[0] = "";
+	args_parse(argc, argv, options, &common, end);
+	log_setup(id->sval[0], LOG_INFO);
+	if (slots->ival[0] < 1 || cold->ival[0] < 1 || warm->ival[0] < 0 || lag->ival[0] < 0 ||
+	    !(mean->dval[0] >= 0)) {
+		log_error(&lg, "bad option: give slots and cold-limit from 1, the others from 0");
+		return 2;
+	}
+	u.id = id->sval[0];
+	u.service = service->sval[0];
+	u.slots = (uint64_t)slots->ival[0];
+	u.service_ms = mean->dval[0];
+	u.fixed = fixed->count > 0;
+	u.checks_grants = checks->count > 0;
+	u.cold_limit = (uint64_t)cold->ival[0];
+	u.cold_requests = (uint64_t)warm->ival[0];
+	u.cold = u.cold_requests > 0;
+	u.lag_ms = lag->ival[0];
+	u.report_in_use = -1;
+	u.slow_factor = 1;
+	rnd_seed(&u.rnd, (uint64_t)seed->ival[0]);
+	make_start_id(&u);
+	note_change(&u);
+	if (!open_ledger(&u, file->sval[0]))
+		return 2;
+	u.httpd = httpd_create("standin-upstream", common.listen->sval[0], common.control->sval[0],
+			       on_service, on_control, &u, &err);
+	if (!u.httpd) {
+		log_error(&lg, "%s", err.msg);
+		return 2;
+	}
+	u.faults = (struct faults){.httpd = u.httpd,
+				   .own = own_switches,
+				   .own_data = &u,
+				   .before_crash = before_crash};
+	httpd_run(u.httpd);
+	arg_freetable(options, sizeof(options) / sizeof(options[0]));
+	return 0;
+}
