standin: the grant decides whether a key is split off

Cause: GRANT frames do not tell an entry whether a key is split off, so an entry has to send x-key-hash with every key; refusing each hash that is not in the granted list would refuse all ordinary keys.

--- a/standin/grants.h
+++ b/standin/grants.h
@@ -45,6 +45,12 @@
 enum grant_put grants_put(struct grants *g, const char *service, struct str body, clk_ms now,
 			  struct err *err);
 
+/*
+ * Whether the granted list of split-off keys names the claim's key. The grant decides this, not the
+ * request: a router may send `x-key-hash` with every key.
+ */
+bool grants_is_hot(const struct grants *g, const struct grant_claim *claim);
+
 /* Why the claim is refused now, NULL if it is covered. */
 const char *grants_refuse(const struct grants *g, const struct grant_claim *claim, clk_ms now);
 
--- a/standin/ledger.c
+++ b/standin/ledger.c
@@ -12,8 +12,8 @@
 		"service", l->service, "start_id", l->start_id, "seq", (json_int_t)number,
 		"request_id", e->request_id, "key", e->key, "partition",
 		e->has_partition ? json_integer((json_int_t)e->partition) : json_null(), "hot",
-		e->has_key_hash, "epoch", (json_int_t)e->epoch, "fence", (json_int_t)e->fence,
-		"start", (json_int_t)e->start, "end", (json_int_t)e->end, "result", e->result);
+		e->hot, "epoch", (json_int_t)e->epoch, "fence", (json_int_t)e->fence, "start",
+		(json_int_t)e->start, "end", (json_int_t)e->end, "result", e->result);
 
 	json_dumpf(line, out, JSON_COMPACT);
 	fputc('\n', out);
--- a/standin/ledger.h
+++ b/standin/ledger.h
@@ -19,7 +19,7 @@
 	json_t *key;	    /* string or null */
 	bool has_partition;
 	uint64_t partition;
-	bool has_key_hash; /* the key is split off */
+	bool hot; /* the grant names the key as split off; false without grants */
 	uint64_t epoch;
 	uint64_t fence;
 	clk_ms start; /* UTC */
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -266,7 +266,7 @@
 	}
 	entry->has_partition = claim->has_partition;
 	entry->partition = claim->partition;
-	entry->has_key_hash = claim->has_key_hash;
+	entry->hot = grants_is_hot(&u->grants, claim);
 	entry->epoch = claim->epoch;
 	entry->fence = claim->fence;
 	return true;
