--- /dev/null
+++ b/tools/cluster.sh
@@ -0,0 +1,156 @@
+# Starts a small deployment of stand-ins and routers on loopback addresses. Sourced by tools/demo
+# and by scripted tests; needs CLUSTER_BIN (programs), CLUSTER_NET (second octet of the addresses,
+# different for deployments that run at the same time) and CLUSTER_DIR (logs, settings, ledgers).
+# shellcheck shell=bash disable=SC2153
+
+CLUSTER_CREDENTIAL=operator-credential-for-local-runs
+declare -A CLUSTER_PID=()
+
+cluster_ip() { echo "127.$CLUSTER_NET.$1.$2"; }
+cluster_table() { echo "$(cluster_ip 0 1):7000"; }
+cluster_objects() { echo "$(cluster_ip 0 2):7000"; }
+cluster_instances() { echo "$(cluster_ip 0 3):7000"; }
+
+# Region number of a region name: meseta 1, pacifico 2.
+cluster_region() { if [ "$1" = meseta ]; then echo 1; else echo 2; fi; }
+
+# Router N of a region, N from 1: name, and addresses of its three ports.
+cluster_router_ip() { cluster_ip "$(cluster_region "$1")" "$2"; }
+cluster_callers() { echo "$(cluster_router_ip "$1" "$2"):8000"; }
+cluster_operators() { echo "$(cluster_router_ip "$1" "$2"):8001"; }
+
+# Starts a program in the background under a name; its output goes to CLUSTER_DIR/NAME.log.
+cluster_start() {
+	local name=$1 program=$2
+	shift 2
+	"$CLUSTER_BIN/$program" "$@" >>"$CLUSTER_DIR/$name.log" 2>&1 &
+	CLUSTER_PID[$name]=$!
+}
+
+# Ends a program of cluster_start and waits for it. Usage: cluster_end NAME [SIGNAL]
+cluster_end() {
+	local pid=${CLUSTER_PID[$1]:-}
+	[ -n "$pid" ] || return 0
+	kill -"${2:-TERM}" "$pid" 2>/dev/null || true
+	# A stopped process handles the signal only after it goes on.
+	kill -CONT "$pid" 2>/dev/null || true
+	wait "$pid" 2>/dev/null
+	local code=$?
+	unset "CLUSTER_PID[$1]"
+	return $code
+}
+
+cluster_signal() { kill -"$2" "${CLUSTER_PID[$1]}"; }
+
+cluster_end_all() {
+	local name
+	for name in "${!CLUSTER_PID[@]}"; do
+		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null || true
+	done
+	for name in "${!CLUSTER_PID[@]}"; do
+		wait "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		unset "CLUSTER_PID[$name]"
+	done
+}
+
+# Waits until a command succeeds; the limit only guards against hanging.
+cluster_wait_for() {
+	local limit=$1
+	shift
+	local end=$((SECONDS + limit))
+	until "$@" >/dev/null 2>&1; do
+		if [ "$SECONDS" -ge "$end" ]; then
+			echo "gave up waiting for: $*" >&2
+			return 1
+		fi
+		sleep 0.05
+	done
+}
+
+cluster_port_open() { (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; }
+
+cluster_start_platform() {
+	cluster_start table standin-table --listen "$(cluster_table)" --control "$(cluster_ip 0 1):7001"
+	cluster_start objects standin-objects --listen "$(cluster_objects)" --control "$(cluster_ip 0 2):7001"
+	cluster_start instances standin-instances --listen "$(cluster_instances)" --control "$(cluster_ip 0 3):7001"
+	cluster_wait_for 10 cluster_port_open "$(cluster_table)"
+	cluster_wait_for 10 cluster_port_open "$(cluster_instances)"
+	cluster_wait_for 10 cluster_port_open "$(cluster_ip 0 3):7001"
+}
+
+# Tells the instance list about an instance. Usage: cluster_list ID KIND IP PORT STATE
+cluster_list() {
+	curl -sf -X POST "http://$(cluster_ip 0 3):7001/instances" \
+		-d "{\"id\":\"$1\",\"kind\":\"$2\",\"ip\":\"$3\",\"port\":$4,\"state\":\"$5\"}" >/dev/null
+}
+
+# Switches faults of a stand-in. Usage: cluster_fault CONTROL-ADDRESS JSON
+cluster_fault() { curl -sf -X POST "http://$1/control" -d "$2" >/dev/null; }
+
+# Usage: cluster_write_settings REGION N ROUTERS-PER-REGION
+cluster_write_settings() {
+	local region=$1 n=$2 per_region=$3 domain=a other i
+	[ $((n % 2)) -eq 1 ] || domain=b
+	{
+		echo "id: $region-$n"
+		echo "region: $region"
+		echo "failure_domain: $region-$domain"
+		echo "callers: $(cluster_router_ip "$region" "$n"):8000"
+		echo "operators: $(cluster_router_ip "$region" "$n"):8001"
+		echo "peers: $(cluster_router_ip "$region" "$n"):8002"
+		echo "seeds:"
+		for other in meseta pacifico; do
+			for i in $(seq "$per_region"); do
+				echo "  - $(cluster_router_ip "$other" "$i"):8002"
+			done
+		done
+		echo "table: $(cluster_table)"
+		echo "objects: $(cluster_objects)"
+		echo "instances: $(cluster_instances)"
+		echo "operator_credential: $CLUSTER_CREDENTIAL"
+	} >"$CLUSTER_DIR/$region-$n.yaml"
+}
+
+# Usage: cluster_start_router REGION N
+cluster_start_router() {
+	cluster_start "$1-$2" bamboocroft-router --settings "$CLUSTER_DIR/$1-$2.yaml"
+	cluster_list "$1-$2" router "$(cluster_router_ip "$1" "$2")" 8002 live
+}
+
+# Upstream N of a service: service number is the third part of the address.
+# Usage: cluster_upstream_ip REGION SERVICE-NUMBER N
+cluster_upstream_ip() { cluster_ip "$(($(cluster_region "$1") * 10 + $2))" "$3"; }
+
+# Usage: cluster_start_upstream ID REGION SERVICE SERVICE-NUMBER N [OPTION...]
+cluster_start_upstream() {
+	local id=$1 ip
+	ip=$(cluster_upstream_ip "$2" "$4" "$5")
+	cluster_start "$id" standin-upstream --listen "$ip:9000" --control "$ip:9001" --id "$id" \
+		--service "$3" --seed "$5" --ledger "$CLUSTER_DIR/$id.ledger" "${@:6}"
+	cluster_list "$id" upstream "$ip" 9000 live
+}
+
+# Usage: cluster_ctl REGION N ARGUMENT...
+cluster_ctl() {
+	local address
+	address=$(cluster_operators "$1" "$2")
+	"$CLUSTER_BIN/bamboocroft-ctl" --router "$address" \
+		--credential-file "$CLUSTER_DIR/credential" "${@:3}"
+}
+
+cluster_status() {
+	curl -sf -H "authorization: Bearer $CLUSTER_CREDENTIAL" "http://$(cluster_operators "$1" "$2")/status"
+}
+
+# Whether a router of the region knows a broker for every service and holds a configuration.
+cluster_ready() {
+	cluster_status "$1" "$2" | python3 -c '
+import json, sys
+s = json.load(sys.stdin)
+ok = s["member"] and s["config_version"] > 0 and not s["alarms"]
+ok = ok and all(v["broker"] for v in s["services"])
+ok = ok and all(v.get("moves", 0) == 0 for v in s["services"])
+ok = ok and all(v.get("assign_version", 1) > 0 for v in s["services"])
+sys.exit(0 if ok else 1)'
+}
