standin: no delay between an answer and the next request

Cause: answers are written by timers, outside h2o's loop. h2o then calls the end of the write only in the next turn of its loop, and the turn waited for the next event first, so the connection was not read for up to 200 ms. A closed loop with one request at a time saw a p50 of 100 ms. Also: bad options are reported in one place, and nothing leaks when a start fails.

--- a/standin/httpd.c
+++ b/standin/httpd.c
@@ -111,16 +111,20 @@
 		after->prev = t;
 }
 
-static void run_timers(struct httpd *h)
+/* Whether any timer was due. */
+static bool run_timers(struct httpd *h)
 {
 	clk_ms now = clk_now();
+	bool ran = false;
 
 	while (h->timers && h->timers->at <= now) {
 		struct httpd_timer *t = h->timers;
 
 		httpd_timer_stop(h, t);
 		t->cb(t);
+		ran = true;
 	}
+	return ran;
 }
 
 static void freeze_now(struct httpd_timer *t)
@@ -520,8 +524,11 @@
 
 void httpd_run(struct httpd *h)
 {
+	bool ran = false;
+
 	while (!stop_requested) {
-		clk_ms wait = MAX_WAIT_MS;
+		/* h2o's callbacks for writes made by a timer wait for the next turn of its loop. */
+		clk_ms wait = ran ? 0 : MAX_WAIT_MS;
 
 		if (h->timers) {
 			clk_ms left = h->timers->at - clk_now();
@@ -530,6 +537,6 @@
 				wait = left > 0 ? left : 0;
 		}
 		h2o_evloop_run(h->loop, (int32_t)wait);
-		run_timers(h);
+		ran = run_timers(h);
 	}
 }
--- a/standin/standin_instances.c
+++ b/standin/standin_instances.c
@@ -223,14 +223,13 @@
 	s.n_snapshots = 1;
 	s.httpd = httpd_create("standin-instances", common.listen->sval[0], common.control->sval[0],
 			       on_service, on_control, &s, &err);
-	if (!s.httpd) {
-		log_error(&lg, "%s", err.msg);
-		return 2;
-	}
 	s.faults.httpd = s.httpd;
 	s.faults.own = own_switches;
 	s.faults.own_data = &s;
-	httpd_run(s.httpd);
+	if (s.httpd)
+		httpd_run(s.httpd);
+	else
+		log_error(&lg, "%s", err.msg);
 	arg_freetable(options, sizeof(options) / sizeof(options[0]));
-	return 0;
+	return s.httpd ? 0 : 2;
 }
--- a/standin/standin_objects.c
+++ b/standin/standin_objects.c
@@ -142,13 +142,12 @@
 	log_setup("standin-objects", LOG_INFO);
 	s.httpd = httpd_create("standin-objects", common.listen->sval[0], common.control->sval[0],
 			       on_service, on_control, &s, &err);
-	if (!s.httpd) {
-		log_error(&lg, "%s", err.msg);
-		return 2;
-	}
 	s.faults.httpd = s.httpd;
 	s.faults.own_data = &s;
-	httpd_run(s.httpd);
+	if (s.httpd)
+		httpd_run(s.httpd);
+	else
+		log_error(&lg, "%s", err.msg);
 	arg_freetable(options, sizeof(options) / sizeof(options[0]));
-	return 0;
+	return s.httpd ? 0 : 2;
 }
--- a/standin/standin_table.c
+++ b/standin/standin_table.c
@@ -224,13 +224,12 @@
 	log_setup("standin-table", LOG_INFO);
 	t.httpd = httpd_create("standin-table", common.listen->sval[0], common.control->sval[0],
 			       on_service, on_control, &t, &err);
-	if (!t.httpd) {
-		log_error(&lg, "%s", err.msg);
-		return 2;
-	}
 	t.faults.httpd = t.httpd;
 	t.faults.own_data = &t;
-	httpd_run(t.httpd);
+	if (t.httpd)
+		httpd_run(t.httpd);
+	else
+		log_error(&lg, "%s", err.msg);
 	arg_freetable(options, sizeof(options) / sizeof(options[0]));
-	return 0;
+	return t.httpd ? 0 : 2;
 }
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -559,7 +559,7 @@
 	snprintf(u->start_id, sizeof(u->start_id), "%016llx", (unsigned long long)mixed);
 }
 
-static bool open_ledger(struct upstream *u, const char *path)
+static bool open_ledger(struct upstream *u, const char *path, struct err *err)
 {
 	u->ledger.upstream = u->id;
 	u->ledger.service = u->service;
@@ -567,75 +567,105 @@
 	if (!*path)
 		return true;
 	u->ledger.file = fopen(path, "ae");
-	if (!u->ledger.file)
-		log_error(&lg, "cannot append to %s: give a path that can be written", path);
-	return u->ledger.file != NULL;
+	return u->ledger.file ||
+	       err_set(err, ERR_INPUT, "cannot append to %.200s: give a path that can be written",
+		       path);
+}
+
+struct arguments {
+	struct args_common common;
+	struct arg_str *id;
+	struct arg_str *service;
+	struct arg_int *slots;
+	struct arg_dbl *mean;
+	struct arg_lit *fixed;
+	struct arg_lit *checks;
+	struct arg_int *cold;
+	struct arg_int *warm;
+	struct arg_int *lag;
+	struct arg_int *seed;
+	struct arg_str *ledger;
+	struct arg_end *end; /* last, as argtable2 expects */
+};
+
+#define N_ARGUMENTS (sizeof(struct arguments) / sizeof(void *))
+
+static struct arguments declare_arguments(void)
+{
+	struct arguments a = {
+		.common = args_common_options(),
+		.id = arg_str1(NULL, "id", "ID", "id of the upstream"),
+		.service = arg_str1(NULL, "service", "ID", "service it belongs to"),
+		.slots = arg_int0(NULL, "slots", "N", "requests at once (default 2)"),
+		.mean = arg_dbl0(NULL, "service-ms", "MS", "mean service time (default 10)"),
+		.fixed = arg_lit0(NULL, "fixed", "same service time for each request"),
+		.checks = arg_lit0(NULL, "checks-grants", "check fenced grants"),
+		.cold = arg_int0(NULL, "cold-limit", "N", "at once while cold (default 1)"),
+		.warm = arg_int0(NULL, "cold-requests", "N",
+				 "completed requests until warm (default 20, 0: warm)"),
+		.lag = arg_int0(NULL, "lag-ms", "MS", "lag of reports (default 500)"),
+		.seed = arg_int0(NULL, "seed", "N", "seed of service times (default 1)"),
+		.ledger = arg_str0(NULL, "ledger", "FILE", "also append the ledger to a file"),
+		.end = arg_end(8),
+	};
+
+	a.slots->ival[0] = DEFAULT_SLOTS;
+	a.mean->dval[0] = DEFAULT_SERVICE_MS;
+	a.cold->ival[0] = DEFAULT_COLD_LIMIT;
+	a.warm->ival[0] = DEFAULT_COLD_REQUESTS;
+	a.lag->ival[0] = DEFAULT_LAG_MS;
+	a.seed->ival[0] = 1;
+	a.ledger->sval[0] = "";
+	return a;
+}
+
+static bool configure(struct upstream *u, const struct arguments *a, struct err *err)
+{
+	if (a->slots->ival[0] < 1 || a->cold->ival[0] < 1)
+		return err_set(err, ERR_INPUT, "bad --slots or --cold-limit: give 1 or more");
+	if (a->warm->ival[0] < 0 || a->lag->ival[0] < 0 || !(a->mean->dval[0] >= 0))
+		return err_set(err, ERR_INPUT,
+			       "bad --cold-requests, --lag-ms or --service-ms: give 0 or more");
+	u->id = a->id->sval[0];
+	u->service = a->service->sval[0];
+	u->slots = (uint64_t)a->slots->ival[0];
+	u->service_ms = a->mean->dval[0];
+	u->fixed = a->fixed->count > 0;
+	u->checks_grants = a->checks->count > 0;
+	u->cold_limit = (uint64_t)a->cold->ival[0];
+	u->cold_requests = (uint64_t)a->warm->ival[0];
+	u->cold = u->cold_requests > 0;
+	u->lag_ms = a->lag->ival[0];
+	u->report_in_use = -1;
+	u->slow_factor = 1;
+	rnd_seed(&u->rnd, (uint64_t)a->seed->ival[0]);
+	make_start_id(u);
+	note_change(u);
+	return open_ledger(u, a->ledger->sval[0], err);
 }
 
 int main(int argc, char **argv)
 {
 	static struct upstream u;
-	struct args_common common = args_common_options();
-	struct arg_str *id = arg_str1(NULL, "id", "ID", "id of the upstream");
-	struct arg_str *service = arg_str1(NULL, "service", "ID", "service it belongs to");
-	struct arg_int *slots = arg_int0(NULL, "slots", "N", "requests at once (default 2)");
-	struct arg_dbl *mean = arg_dbl0(NULL, "service-ms", "MS", "mean service time (default 10)");
-	struct arg_lit *fixed = arg_lit0(NULL, "fixed", "same service time for each request");
-	struct arg_lit *checks = arg_lit0(NULL, "checks-grants", "check fenced grants");
-	struct arg_int *cold = arg_int0(NULL, "cold-limit", "N", "at once while cold (default 1)");
-	struct arg_int *warm = arg_int0(NULL, "cold-requests", "N",
-					"completed requests until warm (default 20, 0: warm)");
-	struct arg_int *lag = arg_int0(NULL, "lag-ms", "MS", "lag of reports (default 500)");
-	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of service times (default 1)");
-	struct arg_str *file = arg_str0(NULL, "ledger", "FILE", "also append the ledger here");
-	struct arg_end *end = arg_end(8);
-	void *options[] = {common.listen, common.control, id,	  service,     slots,
-			   mean,	  fixed,	  checks, cold,	       warm,
-			   lag,		  seed,		  file,	  common.help, end};
+	struct arguments args = declare_arguments();
+	void *table[N_ARGUMENTS];
 	struct err err;
 
-	slots->ival[0] = DEFAULT_SLOTS;
-	mean->dval[0] = DEFAULT_SERVICE_MS;
-	cold->ival[0] = DEFAULT_COLD_LIMIT;
-	warm->ival[0] = DEFAULT_COLD_REQUESTS;
-	lag->ival[0] = DEFAULT_LAG_MS;
-	seed->ival[0] = 1;
-	file->sval[0] = "";
-	args_parse(argc, argv, options, &common, end);
-	log_setup(id->sval[0], LOG_INFO);
-	if (slots->ival[0] < 1 || cold->ival[0] < 1 || warm->ival[0] < 0 || lag->ival[0] < 0 ||
-	    !(mean->dval[0] >= 0)) {
-		log_error(&lg, "bad option: give slots and cold-limit from 1, the others from 0");
-		return 2;
-	}
-	u.id = id->sval[0];
-	u.service = service->sval[0];
-	u.slots = (uint64_t)slots->ival[0];
-	u.service_ms = mean->dval[0];
-	u.fixed = fixed->count > 0;
-	u.checks_grants = checks->count > 0;
-	u.cold_limit = (uint64_t)cold->ival[0];
-	u.cold_requests = (uint64_t)warm->ival[0];
-	u.cold = u.cold_requests > 0;
-	u.lag_ms = lag->ival[0];
-	u.report_in_use = -1;
-	u.slow_factor = 1;
-	rnd_seed(&u.rnd, (uint64_t)seed->ival[0]);
-	make_start_id(&u);
-	note_change(&u);
-	if (!open_ledger(&u, file->sval[0]))
-		return 2;
-	u.httpd = httpd_create("standin-upstream", common.listen->sval[0], common.control->sval[0],
-			       on_service, on_control, &u, &err);
-	if (!u.httpd) {
-		log_error(&lg, "%s", err.msg);
-		return 2;
-	}
+	memcpy(table, &args, sizeof(table));
+	args_parse(argc, argv, table, &args.common, args.end);
+	log_setup(args.id->sval[0], LOG_INFO);
+	if (configure(&u, &args, &err))
+		u.httpd = httpd_create("standin-upstream", args.common.listen->sval[0],
+				       args.common.control->sval[0], on_service, on_control, &u,
+				       &err);
 	u.faults = (struct faults){.httpd = u.httpd,
 				   .own = own_switches,
 				   .own_data = &u,
 				   .before_crash = before_crash};
-	httpd_run(u.httpd);
-	arg_freetable(options, sizeof(options) / sizeof(options[0]));
-	return 0;
+	if (u.httpd)
+		httpd_run(u.httpd);
+	else
+		log_error(&lg, "%s", err.msg);
+	arg_freetable(table, N_ARGUMENTS);
+	return u.httpd ? 0 : 2;
 }
