--- /dev/null
+++ b/src/tool/stats.c
@@ -0,0 +1,202 @@
+#include "tool/stats.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+struct count {
+	char *label;
+	uint64_t n;
+	UT_hash_handle hh;
+};
+
+struct key_state {
+	char *key;
+	clk_ms failing_since; /* CLK_NEVER: not failing */
+	clk_ms longest;
+	UT_hash_handle hh;
+};
+
+struct stats {
+	clk_ms start;
+	clk_ms last_success;
+	clk_ms longest_gap;
+	struct count *counts;
+	struct key_state *keys;
+	uint64_t *latencies;
+	size_t n_latencies;
+	size_t capacity;
+	uint64_t requests;
+	uint64_t repeats;
+};
+
+struct stats *stats_create(clk_ms start)
+{
+	struct stats *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		abort();
+	s->start = start;
+	s->last_success = start;
+	return s;
+}
+
+void stats_destroy(struct stats *s)
+{
+	struct count *count;
+	struct count *next_count;
+	struct key_state *key;
+	struct key_state *next_key;
+
+	HASH_ITER (hh, s->counts, count, next_count) {
+		HASH_DEL(s->counts, count);
+		free(count->label);
+		free(count);
+	}
+	HASH_ITER (hh, s->keys, key, next_key) {
+		HASH_DEL(s->keys, key);
+		free(key->key);
+		free(key);
+	}
+	free(s->latencies);
+	free(s);
+}
+
+static void add_count(struct stats *s, const char *label)
+{
+	struct count *c;
+
+	HASH_FIND_STR(s->counts, label, c);
+	if (!c) {
+		c = calloc(1, sizeof(*c));
+		if (!c)
+			abort();
+		c->label = strdup(label);
+		HASH_ADD_KEYPTR(hh, s->counts, c->label, strlen(c->label), c);
+	}
+	c->n++;
+}
+
+static void add_latency(struct stats *s, uint64_t us)
+{
+	if (s->n_latencies == s->capacity) {
+		s->capacity = s->capacity ? 2 * s->capacity : 1024;
+		s->latencies = realloc(s->latencies, s->capacity * sizeof(*s->latencies));
+		if (!s->latencies)
+			abort();
+	}
+	s->latencies[s->n_latencies++] = us;
+}
+
+static void add_key(struct stats *s, const struct stats_sample *sample)
+{
+	struct key_state *k;
+
+	HASH_FIND_STR(s->keys, sample->key, k);
+	if (!k) {
+		k = calloc(1, sizeof(*k));
+		if (!k)
+			abort();
+		k->key = strdup(sample->key);
+		k->failing_since = CLK_NEVER;
+		HASH_ADD_KEYPTR(hh, s->keys, k->key, strlen(k->key), k);
+	}
+	if (!sample->success) {
+		if (k->failing_since > sample->sent)
+			k->failing_since = sample->sent;
+		return;
+	}
+	if (k->failing_since != CLK_NEVER && sample->answered - k->failing_since > k->longest)
+		k->longest = sample->answered - k->failing_since;
+	k->failing_since = CLK_NEVER;
+}
+
+void stats_add(struct stats *s, const struct stats_sample *sample)
+{
+	add_count(s, sample->label);
+	if (sample->repeat) {
+		s->repeats++;
+		return;
+	}
+	s->requests++;
+	if (sample->key)
+		add_key(s, sample);
+	if (!sample->success)
+		return;
+	add_latency(s, sample->latency_us);
+	if (sample->answered - s->last_success > s->longest_gap)
+		s->longest_gap = sample->answered - s->last_success;
+	s->last_success = sample->answered;
+}
+
+static int by_label(struct count *a, struct count *b)
+{
+	return strcmp(a->label, b->label);
+}
+
+static int by_value(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Nearest rank: the smallest value that at least `per_mille` of the samples do not exceed. */
+static double percentile_ms(const struct stats *s, size_t per_mille)
+{
+	size_t rank = (s->n_latencies * per_mille + 999) / 1000;
+
+	return rank ? (double)s->latencies[rank - 1] / 1000 : 0;
+}
+
+static void write_worst_key(const struct stats *s, clk_ms end, FILE *out)
+{
+	const char *worst = "-";
+	clk_ms longest = 0;
+	size_t failed = 0;
+	struct key_state *k;
+	struct key_state *next;
+
+	HASH_ITER (hh, s->keys, k, next) {
+		clk_ms time = k->longest;
+
+		if (k->failing_since != CLK_NEVER && end - k->failing_since > time)
+			time = end - k->failing_since;
+		failed += time > 0;
+		if (time > longest) {
+			longest = time;
+			worst = k->key;
+		}
+	}
+	fprintf(out, "keys %u\n", HASH_COUNT(s->keys));
+	fprintf(out, "keys_with_failures %zu\n", failed);
+	fprintf(out, "worst_key %s\n", worst);
+	fprintf(out, "worst_key_unavailable_ms %lld\n", (long long)longest);
+}
+
+void stats_write(struct stats *s, clk_ms end, bool per_key, FILE *out)
+{
+	clk_ms gap =
+		end - s->last_success > s->longest_gap ? end - s->last_success : s->longest_gap;
+	struct count *c;
+	struct count *next;
+
+	if (s->n_latencies)
+		qsort(s->latencies, s->n_latencies, sizeof(*s->latencies), by_value);
+	HASH_SORT(s->counts, by_label);
+	fprintf(out, "requests %llu\n", (unsigned long long)s->requests);
+	fprintf(out, "repeats %llu\n", (unsigned long long)s->repeats);
+	fprintf(out, "successes %zu\n", s->n_latencies);
+	HASH_ITER (hh, s->counts, c, next) {
+		fprintf(out, "count[%s] %llu\n", c->label, (unsigned long long)c->n);
+	}
+	fprintf(out, "duration_ms %lld\n", (long long)(end - s->start));
+	fprintf(out, "p50_ms %.3f\n", percentile_ms(s, 500));
+	fprintf(out, "p99_ms %.3f\n", percentile_ms(s, 990));
+	fprintf(out, "p99.9_ms %.3f\n", percentile_ms(s, 999));
+	fprintf(out, "unavailable_ms %lld\n", (long long)gap);
+	if (per_key)
+		write_worst_key(s, end, out);
+}
