tool: free hash tables without deleting each element

Ruled out: a real fault; the sanitizer build runs clean. Conclusion: clear the table, then free the list that its elements form.

--- a/src/tool/loadcheck.c
+++ b/src/tool/loadcheck.c
@@ -78,10 +78,8 @@
 
 void loadcheck_destroy(struct loadcheck *c)
 {
-	struct run *run;
-	struct run *next_run;
-	struct request *req;
-	struct request *next_req;
+	struct run *run = c->runs;
+	struct request *req = c->requests;
 
 	for (size_t i = 0; i < c->n_answers; i++) {
 		free(c->answers[i].request_id);
@@ -89,14 +87,21 @@
 		free(c->answers[i].detail);
 	}
 	free(c->answers);
-	HASH_ITER (hh, c->runs, run, next_run) {
-		HASH_DEL(c->runs, run);
+	/* Frees the tables only; their elements stay linked. */
+	HASH_CLEAR(hh, c->runs);
+	HASH_CLEAR(hh, c->requests);
+	while (run) {
+		struct run *next = run->hh.next;
+
 		free_run(run);
+		run = next;
 	}
-	HASH_ITER (hh, c->requests, req, next_req) {
-		HASH_DEL(c->requests, req);
+	while (req) {
+		struct request *next = req->hh.next;
+
 		free(req->id);
 		free(req);
+		req = next;
 	}
 	free(c);
 }
--- a/src/tool/stats.c
+++ b/src/tool/stats.c
@@ -44,20 +44,25 @@
 
 void stats_destroy(struct stats *s)
 {
-	struct count *count;
-	struct count *next_count;
-	struct key_state *key;
-	struct key_state *next_key;
+	struct count *count = s->counts;
+	struct key_state *key = s->keys;
+
+	/* Frees the tables only; their elements stay linked. */
+	HASH_CLEAR(hh, s->counts);
+	HASH_CLEAR(hh, s->keys);
+	while (count) {
+		struct count *next = count->hh.next;
 
-	HASH_ITER (hh, s->counts, count, next_count) {
-		HASH_DEL(s->counts, count);
 		free(count->label);
 		free(count);
+		count = next;
 	}
-	HASH_ITER (hh, s->keys, key, next_key) {
-		HASH_DEL(s->keys, key);
+	while (key) {
+		struct key_state *next = key->hh.next;
+
 		free(key->key);
 		free(key);
+		key = next;
 	}
 	free(s->latencies);
 	free(s);
