--- a/src/bin/load.c
+++ b/src/bin/load.c
@@ -46,6 +46,7 @@
 	const char *path;
 	const char *method;
 	const char *account;
+	const char *key_prefix;
 	double rate;	      /* requests a second, 0: closed loop */
 	uint64_t concurrency; /* closed loop */
 	uint64_t requests;    /* 0: until `duration` */
@@ -239,7 +240,8 @@
 	bool again;
 
 	if (l->opt.keys)
-		a->key = arena_printf(&a->arena, "key-%llu", (unsigned long long)pick_key(l));
+		a->key = arena_printf(&a->arena, "%s%llu", l->opt.key_prefix,
+				      (unsigned long long)pick_key(l));
 	if (l->opt.request_ids)
 		a->request_id =
 			arena_printf(&a->arena, "load-%llx-%llu", (unsigned long long)l->run_number,
@@ -481,6 +483,7 @@
 	struct arg_int *requests;
 	struct arg_dbl *seconds;
 	struct arg_int *keys;
+	struct arg_str *key_prefix;
 	struct arg_dbl *zipf;
 	struct arg_str *account;
 	struct arg_int *body_bytes;
@@ -509,6 +512,9 @@
 		.requests = arg_int0(NULL, "requests", "N", "stop after N requests"),
 		.seconds = arg_dbl0(NULL, "seconds", "S", "stop after S seconds"),
 		.keys = arg_int0(NULL, "keys", "N", "number of keys (default 0: no x-key)"),
+		.key_prefix = arg_str0(NULL, "key-prefix", "TEXT",
+				       "of each key (default key-); differ between homed and other "
+				       "requests, whose keys are different keys"),
 		.zipf = arg_dbl0(NULL, "zipf", "S", "exponent of key popularity (default 0)"),
 		.account = arg_str0(NULL, "account", "ID", "client account"),
 		.body_bytes = arg_int0(NULL, "body-bytes", "N", "size of each body (default 0)"),
@@ -595,6 +601,7 @@
 	o->path = text_or(args->path, "/");
 	o->method = text_or(args->method, body_bytes ? "POST" : "GET");
 	o->account = text_or(args->account, "");
+	o->key_prefix = text_or(args->key_prefix, "key-");
 	o->request_ids = args->request_ids->count > 0;
 	o->idempotent = args->idempotent->count > 0;
 	o->per_key = args->per_key->count > 0;
--- a/standin/grants.c
+++ b/standin/grants.c
@@ -6,6 +6,8 @@
 #include <jansson.h>
 
 #define KEY_HASH_DIGITS 16
+/* Clocks of routers and upstreams differ by at most this much. */
+#define CLOCK_TOLERANCE_MS 50
 
 static bool parse_hex(const char *text, uint64_t *out)
 {
@@ -50,12 +52,15 @@
 	struct grants next = {0};
 	json_int_t fence = json_integer_value(json_object_get(doc, "fence"));
 	json_int_t ttl = json_integer_value(json_object_get(doc, "ttl_ms"));
+	json_int_t until = json_integer_value(json_object_get(doc, "expires_utc_ms"));
+	clk_ms left = until + CLOCK_TOLERANCE_MS - clk_utc();
 	bool good;
 
 	if ((uint64_t)fence < g->fence)
 		return GRANT_OLD_FENCE;
 	next.fence = (uint64_t)fence;
-	next.expires = now + ttl;
+	/* The absolute time ends a grant that waited unread while this process was frozen. */
+	next.expires = now + (ttl < left ? ttl : left);
 	next.assign_version = (uint64_t)json_integer_value(json_object_get(doc, "assign_version"));
 	good = read_epochs(json_object_get(doc, "partitions"), false, &next.partitions,
 			   &next.n_partitions);
@@ -89,11 +94,12 @@
 	enum grant_put result = GRANT_BAD;
 
 	if (!named || !is_count(doc, "fence") || !is_count(doc, "assign_version") ||
-	    !is_count(doc, "ttl_ms") || !json_is_array(json_object_get(doc, "partitions")) ||
+	    !is_count(doc, "ttl_ms") || !is_count(doc, "expires_utc_ms") ||
+	    !json_is_array(json_object_get(doc, "partitions")) ||
 	    !json_is_array(json_object_get(doc, "hot")))
 		err_set(err, ERR_INPUT,
 			"bad grant; send a JSON object with service, fence, assign_version, "
-			"ttl_ms, partitions and hot");
+			"ttl_ms, expires_utc_ms, partitions and hot");
 	else if (strcmp(named, service) != 0)
 		err_set(err, ERR_INPUT, "grant for another service; this upstream serves \"%s\"",
 			service);
