--- a/src/process/svc.h
+++ b/src/process/svc.h
@@ -116,6 +116,8 @@
 void svc_on_record(struct svc *s, clk_ms now, uint64_t from, const Bc__Record *record);
 void svc_on_record_ack(struct svc *s, clk_ms now, uint64_t from, const Bc__RecordAck *ack);
 
+/* Ends the broker role at once, without telling the members. */
+void svc_resign(struct svc *s, const char *cause);
 /* Gives the lease up for a planned stop. */
 void svc_release(struct svc *s, clk_ms now);
 
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -82,7 +82,7 @@
 # Tells the instance list about an instance. Usage: cluster_list ID KIND IP PORT STATE
 cluster_list() {
 	curl -sf -X POST "http://$(cluster_ip 0 3):7001/instances" \
-		-d "{\"id\":\"$1\",\"kind\":\"$2\",\"ip\":\"$3\",\"port\":$4,\"state\":\"$5\"}" >/dev/null
+		-d "{\"instances\":[{\"id\":\"$1\",\"kind\":\"$2\",\"ip\":\"$3\",\"port\":$4,\"state\":\"$5\"}]}" >/dev/null
 }
 
 # Switches faults of a stand-in. Usage: cluster_fault CONTROL-ADDRESS JSON
