lease: majority lease, membership rules and documents

A previous member counts as gone when a newer incarnation of its id is a member, and a router that reaches fewer than n - majority + 1 members proposes nothing. doc_mark_from_store() sets the field that no function set. Ruled out: raising numbers by reports only (the mutant number_ignores_utc repeats numbers after a membership change); a fixed wait after a split vote (costs one whole duration more).

--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -69,8 +69,12 @@
  */
 void lease_note_version(struct lease *l, uint64_t cell_version);
 
-/* Returns true when `ask` is to be sent to every other member. The own confirmation is included. */
-bool lease_tick(struct lease *l, clk_ms now, struct lease_ask *ask);
+/*
+ * Returns true when `ask` is to be sent to every other member. The own confirmation is included.
+ * `utc` is the wall clock, a lower bound for the number of a new lease: the members of a new cell
+ * version may remember no number of the version before.
+ */
+bool lease_tick(struct lease *l, clk_ms now, clk_ms utc, struct lease_ask *ask);
 
 void lease_on_ask(struct lease *l, clk_ms now, uint64_t from, const struct lease_ask *ask,
 		  struct lease_reply *reply);
--- a/src/version/doc.h
+++ b/src/version/doc.h
@@ -26,15 +26,20 @@
 struct doc_set *doc_set_create(void);
 void doc_set_destroy(struct doc_set *set);
 
-/* Copies row and body. False if the held version is not older: then nothing changes. */
+/*
+ * Copies row and body. False if the held version is not older or the body is longer than
+ * DOC_MAX_BYTES: then nothing changes.
+ */
 bool doc_put(struct doc_set *set, struct str row, uint64_t version, struct str body);
+/* Sets `from_store` if exactly this version is held; doc_put() clears it. */
+void doc_mark_from_store(struct doc_set *set, struct str row, uint64_t version);
 const struct doc *doc_get(const struct doc_set *set, struct str row);
 uint64_t doc_version(const struct doc_set *set, struct str row);
 const struct doc *doc_first(const struct doc_set *set);
 
 /*
  * Versions that peers reported to hold, for "more than half of the members hold it".
- * A lower report than an earlier one is ignored.
+ * A lower report than an earlier one is ignored. The own node counts only if it is noted as well.
  */
 void doc_note_peer(struct doc_set *set, uint64_t node, struct str row, uint64_t version);
 size_t doc_holders(const struct doc_set *set, struct str row, uint64_t version,
--- /dev/null
+++ b/src/version/member.c
@@ -0,0 +1,208 @@
+#include "version/member.h"
+
+#include <string.h>
+
+#include "base/mutant.h"
+#include "base/rnd.h"
+#include "base/str.h"
+
+/* A member that was silent for this long leaves, so that the majority counts live members. */
+#define MEMBER_SILENCE_MS 3000
+
+size_t member_majority(size_t n)
+{
+	if (MUTANT(minority_as_majority))
+		return (n + 1) / 2;
+	return n / 2 + 1;
+}
+
+uint64_t member_node(const char *id, const char *incarnation)
+{
+	uint64_t node = rnd_mix(str_hash(str_from(id)), str_hash(str_from(incarnation)));
+
+	/* 0 means "nobody" in lease messages. */
+	return node ? node : 1;
+}
+
+/* How many members must not confirm under their version any more, so that no majority is left. */
+static size_t blocking_number(size_t n)
+{
+	return n - member_majority(n) + 1;
+}
+
+static bool same_id(const Bc__Member *m, const char *id)
+{
+	return strcmp(m->id, id) == 0;
+}
+
+static bool same_incarnation(const Bc__Member *m, const char *id, const char *incarnation)
+{
+	return same_id(m, id) && strcmp(m->incarnation, incarnation) == 0;
+}
+
+/* A router that runs with a new incarnation has ended the old one. */
+static bool is_replaced(const Bc__Cell *cell, const Bc__Member *old)
+{
+	for (size_t i = 0; i < cell->n_members; i++) {
+		const Bc__Member *m = cell->members[i];
+
+		if (same_id(m, old->id) && !same_incarnation(m, old->id, old->incarnation))
+			return true;
+	}
+	return false;
+}
+
+static bool cannot_confirm(const Bc__Cell *cell, const Bc__Member *old,
+			   const struct member_seen *seen, size_t n_seen)
+{
+	uint64_t node = member_node(old->id, old->incarnation);
+
+	for (size_t i = 0; i < n_seen; i++) {
+		if (seen[i].node != node)
+			continue;
+		if (seen[i].gone || seen[i].cell_version >= cell->version)
+			return true;
+	}
+	return is_replaced(cell, old);
+}
+
+static bool is_blocked(const Bc__Cell *cell, const struct member_seen *seen, size_t n_seen)
+{
+	size_t n = cell->n_previous;
+	Bc__Member **members = cell->previous;
+	size_t blocked = 0;
+
+	if (MUTANT(new_members_counted)) {
+		n = cell->n_members;
+		members = cell->members;
+	}
+	for (size_t i = 0; i < n; i++)
+		blocked += cannot_confirm(cell, members[i], seen, n_seen);
+	return blocked >= blocking_number(n);
+}
+
+bool member_may_activate(struct member_gate *gate, clk_ms now, clk_ms lease_duration,
+			 const Bc__Cell *cell, const struct member_seen *seen, size_t n_seen)
+{
+	if (cell->n_previous == 0 || MUTANT(version_at_once))
+		return true;
+	if (gate->since == 0) {
+		if (!is_blocked(cell, seen, n_seen))
+			return false;
+		gate->since = now;
+	}
+	/* The last lease under the version before was asked for before the condition was met. */
+	return now - gate->since >= lease_duration || MUTANT(version_without_lease_time);
+}
+
+static const Bc__Member *find_by_id(const Bc__Cell *cell, const char *id)
+{
+	for (size_t i = 0; cell && i < cell->n_members; i++) {
+		if (same_id(cell->members[i], id))
+			return cell->members[i];
+	}
+	return NULL;
+}
+
+static bool is_current(const Bc__Cell *cell, const struct member_candidate *c)
+{
+	const Bc__Member *m = find_by_id(cell, c->id);
+
+	return m && strcmp(m->incarnation, c->incarnation) == 0;
+}
+
+static bool may_join(const struct member_candidate *c)
+{
+	return c->connected && !c->gone && !c->draining;
+}
+
+static bool stays(const struct member_candidate *c)
+{
+	if (c->gone && !MUTANT(gone_member_kept))
+		return false;
+	return !c->draining && (c->silent_for < MEMBER_SILENCE_MS || MUTANT(silent_member_kept));
+}
+
+/* Of two incarnations of one router: one that is not yet a member is newer; else the last heard. */
+static bool is_newer(const Bc__Cell *cell, const struct member_candidate *a,
+		     const struct member_candidate *b)
+{
+	bool a_current = is_current(cell, a);
+
+	if (a_current != is_current(cell, b))
+		return !a_current;
+	return a->silent_for < b->silent_for;
+}
+
+static bool is_superseded(const Bc__Cell *cell, const struct member_candidate *candidates, size_t n,
+			  size_t i)
+{
+	for (size_t j = 0; j < n; j++) {
+		const struct member_candidate *c = &candidates[j];
+
+		if (j == i || strcmp(c->id, candidates[i].id) != 0 || !c->connected)
+			continue;
+		if (is_newer(cell, c, &candidates[i]))
+			return true;
+		/* Equal in every respect: the earlier entry stands for both. */
+		if (j < i && !is_newer(cell, &candidates[i], c))
+			return true;
+	}
+	return false;
+}
+
+static const struct member_candidate *find_candidate(const struct member_candidate *candidates,
+						     size_t n, const Bc__Member *m)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (same_incarnation(m, candidates[i].id, candidates[i].incarnation))
+			return &candidates[i];
+	}
+	return NULL;
+}
+
+/*
+ * Could a new version take effect, judged by the members that this router hears, knows to be gone
+ * or knows to be replaced? A minority that is cut off must not displace the majority in the store.
+ */
+static bool could_activate(const Bc__Cell *cell, const struct member_candidate *candidates,
+			   size_t n)
+{
+	size_t reached = 0;
+
+	if (!cell || cell->n_members == 0)
+		return true;
+	for (size_t i = 0; i < cell->n_members; i++) {
+		const struct member_candidate *c = find_candidate(candidates, n, cell->members[i]);
+
+		/* A member that the caller does not list was not judged: it may not be dropped. */
+		if (!c)
+			return false;
+		reached += c->connected || c->gone ||
+			   is_superseded(cell, candidates, n, (size_t)(c - candidates));
+	}
+	return reached >= blocking_number(cell->n_members) || MUTANT(minority_proposes);
+}
+
+bool member_propose(const Bc__Cell *cell, const struct member_candidate *candidates, size_t n,
+		    bool *keep)
+{
+	bool differs = false;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct member_candidate *c = &candidates[i];
+		bool current = is_current(cell, c);
+
+		keep[i] = (current ? stays(c) : may_join(c)) &&
+			  !is_superseded(cell, candidates, n, i);
+		kept += keep[i];
+		differs |= keep[i] != current;
+	}
+	if (differs && (kept > 0 || MUTANT(empty_cell_proposed)) &&
+	    could_activate(cell, candidates, n))
+		return true;
+	for (size_t i = 0; i < n; i++)
+		keep[i] = is_current(cell, &candidates[i]);
+	return false;
+}
--- a/src/version/member.h
+++ b/src/version/member.h
@@ -18,7 +18,11 @@
 struct member_seen {
 	uint64_t node;
 	uint64_t cell_version; /* highest version it reported */
-	bool gone; /* was listed and is missing from the instance list for more than 5 s */
+	/*
+	 * Was listed and is missing from the instance list for more than 5 s, or a newer
+	 * incarnation of the same id was heard: it can confirm nothing any more.
+	 */
+	bool gone;
 };
 
 size_t member_majority(size_t n);
@@ -54,8 +58,10 @@
 /*
  * Next members of the cell: connected candidates join, a new incarnation replaces the old one, and
  * members that are gone, drain, or were silent for 3 s leave. Returns true if that differs from
- * `cell` (which may be NULL when the row does not exist); sets `keep[i]` for each candidate.
- * Never returns an empty set.
+ * `cell` (which may be NULL when the row does not exist); sets `keep[i]` for each candidate, to the
+ * present membership if it returns false. `candidates` must list every present member. Never
+ * proposes an empty set, nor a change that could not take effect because this router reaches too
+ * few of the present members. The caller proposes only once `cell` itself has taken effect.
  */
 bool member_propose(const Bc__Cell *cell, const struct member_candidate *candidates, size_t n,
 		    bool *keep);
--- /dev/null
+++ b/test/prop_lease.cc
@@ -0,0 +1,1039 @@
+/*
+ * Majority lease under random schedules, in simulated time. Each schedule runs routers with the
+ * real lease and membership modules over a network that loses, delays, repeats and reorders
+ * messages; routers pause, restart with empty memory, are lost one by one or by half, their clocks
+ * drift by up to 1 %, and operators' and automatic membership changes go through a table row.
+ *
+ * Checked after every event of every schedule, at true time:
+ *  - at most one router believes that it holds the lease;
+ *  - every new holder has a larger lease number than all holders before;
+ * and after the faults have ended:
+ *  - the membership settles within MEMBERS_BOUND_MS, then some router holds the lease within
+ *    lease_bound() and keeps it.
+ *
+ * Runs 1400 schedules: 4 sizes (3, 5, 6, 12) x 2 kinds (fixed and changing membership) x 100
+ * RapidCheck cases x 2 schedules, or 1 for size 12.
+ */
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/mutant.h"
+#include "base/rnd.h"
+#include "process/lease.h"
+#include "version/member.h"
+}
+#include "prop.h"
+
+namespace
+{
+
+/* Fewer of the largest size, which takes most of the time. */
+int schedules_per_case(size_t members)
+{
+	return members > 6 ? 1 : 2;
+}
+
+const double CHAOS_MS = 5000;
+const double HEARTBEAT_MS = 200;
+const double CONNECTED_MS = 1000;
+const double QUIET_DELAY_MS = 5;
+/* Several versions in a row, each with detection, propagation and one lease time. */
+const double MEMBERS_BOUND_MS = 12000;
+const double SLOW_MS = 300;
+const double STABLE_MS = 1000;
+const double CHECK_EVERY_MS = 3; /* of the conditions of the quiet time */
+const uint64_t SERVICE_HASH = 0x5ee3;
+const clk_ms UTC_BASE = 1796000000000;
+/* Half of the greatest difference between two routers' UTC clocks. */
+const double UTC_SKEW_MS = 25;
+
+/*
+ * Records, hints and start-up waits last one duration each and overlap; after a failed attempt a
+ * candidate lets every other member go first; then the rank decides, and a split vote costs one
+ * more attempt.
+ */
+double lease_bound(size_t members)
+{
+	return 2.0 * lease_defaults.duration + 2.0 * (double)members * lease_defaults.rank_delay;
+}
+
+struct Stats {
+	long schedules = 0;
+	long holders = 0;
+	long versions = 0;
+	double longest_wait = 0;
+	double longest_settle = 0;
+} stats;
+
+struct CellDoc {
+	std::vector<Bc__Member> members, previous;
+	std::vector<Bc__Member *> member_ptrs, previous_ptrs;
+	std::vector<uint64_t> numbers;
+	Bc__Cell cell;
+};
+
+/* What one router knows of another life of a router. */
+struct Heard {
+	int id;
+	int incarnation;
+	uint64_t version;
+	clk_ms at;
+};
+
+enum MessageKind { ASK, REPLY, HEARTBEAT };
+
+struct Message {
+	MessageKind kind;
+	int from;
+	int from_incarnation;
+	uint64_t from_number;
+	int to;
+	uint64_t to_number;
+	struct lease_ask ask;
+	struct lease_reply reply;
+	uint64_t version;
+};
+
+struct Node {
+	bool up = false;
+	bool dead = false;
+	bool paused = false;
+	int incarnation = 0;
+	int life = 0; /* drops ticks of an earlier life */
+	uint64_t number = 0;
+	struct lease *lease = nullptr;
+	double died_at = 0;
+	/* Clock: local time `local` at true time `since`, running at `rate`. */
+	double since = 0, local = 0, rate = 1, utc_skew = 0;
+	uint64_t known = 0, active = 0;
+	clk_ms known_since = 0;
+	struct member_gate gate = {0};
+	std::map<uint64_t, Heard> heard;
+	std::vector<Message> inbox; /* arrived during a pause */
+	clk_ms next_heartbeat = 0, next_poll = 0, next_proposal = 0;
+};
+
+enum EventKind { TICK, DELIVER, FAULT, RESUME, START, RELEASE };
+
+struct Event {
+	double at;
+	uint64_t seq;
+	EventKind kind;
+	int node;
+	int life;
+	size_t msg; /* index into the pool */
+};
+
+struct Later {
+	bool operator()(const Event &a, const Event &b) const
+	{
+		return a.at != b.at ? a.at > b.at : a.seq > b.seq;
+	}
+};
+
+class Schedule
+{
+      public:
+	Schedule(size_t n, bool fixed, uint64_t seed) : fixed_(fixed), size_(n)
+	{
+		rnd_seed(&rnd_, seed);
+		const double delays[] = {1, 5, 20, 150};
+		max_delay_ = delays[below(4)];
+		loss_ = below(3) == 0 ? 0 : unit() * 0.3;
+		late_ = below(2) == 0 ? 0 : unit() * 0.1;
+		repeat_ = below(2) == 0 ? 0 : unit() * 0.2;
+		max_tick_ = 2 + (double)below(18);
+		gone_after_ = 300 + unit() * 1200;
+		fault_every_ = 60 + unit() * 400;
+		nodes_.resize(n);
+		std::vector<std::pair<int, int>> first;
+		for (size_t i = 0; i < n; i++)
+			first.push_back({(int)i, 1});
+		add_cell(first, {});
+		for (size_t i = 0; i < n; i++) {
+			start((int)i);
+			learn((int)i, 1);
+		}
+		push(unit() * 2000, FAULT, 0);
+	}
+
+	~Schedule()
+	{
+		for (auto &node : nodes_)
+			lease_destroy(node.lease);
+	}
+
+	/* Returns an empty string or what went wrong. */
+	std::string run()
+	{
+		while (!queue_.empty() && error_.empty()) {
+			Event ev = queue_.top();
+
+			queue_.pop();
+			if (!quiet_ && ev.at >= CHAOS_MS)
+				become_quiet(CHAOS_MS);
+			now_ = std::max(now_, ev.at);
+			handle(ev);
+			if (quiet_ && now_ >= next_check_) {
+				next_check_ = now_ + CHECK_EVERY_MS;
+				if (is_finished())
+					break;
+			}
+		}
+		if (queue_.empty())
+			fail("no router runs");
+		stats.schedules++;
+		stats.versions += (long)cells_.size();
+		return error_;
+	}
+
+      private:
+	bool fixed_;
+	size_t size_;
+	struct rnd rnd_;
+	double now_ = 0;
+	uint64_t seq_ = 0;
+	std::priority_queue<Event, std::vector<Event>, Later> queue_;
+	std::vector<Message> pool_;
+	std::vector<size_t> free_;
+	std::vector<Node> nodes_;
+	std::deque<CellDoc> cells_; /* the table row: index is version - 1 */
+	std::deque<std::string> strings_;
+	std::map<std::pair<int, int>, int> blocked_;
+	std::vector<int> group_;
+	bool store_up_ = true;
+	bool half_lost_ = false;
+	bool quiet_ = false;
+	uint64_t quiet_seq_ = 0;
+	double next_check_ = 0;
+	double quiet_at_ = 0, settled_at_ = -1, held_at_ = -1;
+	uint64_t held_number_ = 0;
+	double max_delay_, loss_, late_, repeat_, max_tick_, gone_after_, fault_every_;
+	int slow_ = -1; /* router that receives everything late */
+	int holder_ = -1;
+	uint64_t holder_number_ = 0;
+	uint64_t highest_number_ = 0;
+	std::string error_;
+
+	uint64_t below(uint64_t n)
+	{
+		return rnd_below(&rnd_, n);
+	}
+	double unit()
+	{
+		return rnd_unit(&rnd_);
+	}
+	bool chance(double p)
+	{
+		return unit() < p;
+	}
+
+	void push(double at, EventKind kind, int node, int life = 0)
+	{
+		queue_.push(Event{at, seq_++, kind, node, life, 0});
+	}
+
+	void push_message(double at, const Message &msg)
+	{
+		size_t slot = pool_.size();
+
+		if (free_.empty()) {
+			pool_.push_back(msg);
+		} else {
+			slot = free_.back();
+			free_.pop_back();
+			pool_[slot] = msg;
+		}
+		queue_.push(Event{at, seq_++, DELIVER, msg.to, 0, slot});
+	}
+
+	clk_ms clock(const Node &node) const
+	{
+		return (clk_ms)(node.local + (now_ - node.since) * node.rate);
+	}
+	clk_ms utc(const Node &node) const
+	{
+		return UTC_BASE + (clk_ms)(now_ + node.utc_skew);
+	}
+
+	void fail(const std::string &what)
+	{
+		if (error_.empty())
+			error_ = what + " at " + std::to_string(now_) + " ms";
+	}
+
+	/* ---- routers ---- */
+
+	double random_rate()
+	{
+		switch (below(3)) {
+		case 0:
+			return 0.99;
+		case 1:
+			return 1.01;
+		default:
+			return 0.99 + unit() * 0.02;
+		}
+	}
+
+	void set_rate(Node &node, double rate)
+	{
+		node.local += (now_ - node.since) * node.rate;
+		node.since = now_;
+		node.rate = rate;
+	}
+
+	std::string incarnation_of(int incarnation) const
+	{
+		return "i" + std::to_string(incarnation);
+	}
+
+	uint64_t number_of(int id, int incarnation) const
+	{
+		return member_node(("r" + std::to_string(id)).c_str(),
+				   incarnation_of(incarnation).c_str());
+	}
+
+	void start(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+
+		/* With fixed membership a restart keeps the number: only the wait protects. */
+		if (!fixed_ || node.incarnation == 0)
+			node.incarnation++;
+		node.life++;
+		node.up = true;
+		node.paused = false;
+		node.number = number_of(i, node.incarnation);
+		if (node.rate == 1 || !fixed_) {
+			node.since = now_;
+			node.local = 1000 + (double)below(1000000);
+			node.rate = random_rate();
+			node.utc_skew = (unit() * 2 - 1) * UTC_SKEW_MS;
+		}
+		node.lease = lease_create(&lease_defaults, node.number, SERVICE_HASH, clock(node));
+		node.known = node.active = 0;
+		node.gate = {0};
+		node.heard.clear();
+		node.inbox.clear();
+		node.next_heartbeat = node.next_poll = clock(node) + (clk_ms)below(200);
+		node.next_proposal = clock(node) + CONNECTED_MS;
+		hear(node, node.number, i, node.incarnation, 0);
+		if (fixed_)
+			learn(i, 1);
+		push(now_ + unit() * max_tick_, TICK, i, node.life);
+	}
+
+	void stop(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+
+		lease_destroy(node.lease);
+		node.lease = nullptr;
+		node.up = false;
+		node.died_at = now_;
+		if (holder_ == i)
+			holder_ = -1;
+	}
+
+	bool is_gone(int id) const
+	{
+		const Node &node = nodes_[(size_t)id];
+
+		return node.dead && now_ >= node.died_at + gone_after_;
+	}
+
+	void hear(Node &node, uint64_t number, int id, int incarnation, uint64_t version)
+	{
+		Heard &h = node.heard[number];
+
+		h.id = id;
+		h.incarnation = incarnation;
+		h.version = std::max(h.version, version);
+		h.at = clock(node);
+	}
+
+	/* An incarnation has ended when the instance is gone or a newer one was heard. */
+	bool has_ended(const Node &node, int id, int incarnation) const
+	{
+		if (is_gone(id))
+			return true;
+		for (const auto &entry : node.heard) {
+			if (entry.second.id == id && entry.second.incarnation > incarnation)
+				return true;
+		}
+		return false;
+	}
+
+	void learn(int i, uint64_t version)
+	{
+		Node &node = nodes_[(size_t)i];
+
+		if (version <= node.known)
+			return;
+		node.known = version;
+		node.known_since = clock(node);
+		node.gate = {0};
+		lease_note_version(node.lease, version);
+		hear(node, node.number, i, node.incarnation, version);
+		try_activate(i);
+	}
+
+	void try_activate(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+		std::vector<struct member_seen> seen;
+
+		if (node.active == node.known)
+			return;
+		const CellDoc &doc = cells_[node.known - 1];
+		seen.reserve(doc.previous.size() + node.heard.size());
+		for (const auto &m : doc.previous) {
+			uint64_t number = member_node(m.id, m.incarnation);
+			auto it = node.heard.find(number);
+
+			seen.push_back({number, it == node.heard.end() ? 0 : it->second.version,
+					has_ended(node, atoi(m.id + 1), atoi(m.incarnation + 1))});
+		}
+		/* Others that were heard must not count towards the members of the old version. */
+		for (const auto &entry : node.heard) {
+			if (entry.second.version)
+				seen.push_back({entry.first, entry.second.version, false});
+		}
+		if (!member_may_activate(&node.gate, clock(node), lease_defaults.duration,
+					 &doc.cell, seen.data(), seen.size()))
+			return;
+		node.active = node.known;
+		lease_set_members(node.lease, clock(node), node.active, doc.numbers.data(),
+				  doc.numbers.size());
+	}
+
+	/* ---- table row ---- */
+
+	Bc__Member new_member(int id, int incarnation)
+	{
+		Bc__Member m = BC__MEMBER__INIT;
+
+		strings_.push_back("r" + std::to_string(id));
+		m.id = &strings_.back()[0];
+		strings_.push_back(incarnation_of(incarnation));
+		m.incarnation = &strings_.back()[0];
+		return m;
+	}
+
+	void add_cell(const std::vector<std::pair<int, int>> &members,
+		      const std::vector<Bc__Member> &previous)
+	{
+		cells_.emplace_back();
+		CellDoc &doc = cells_.back();
+
+		for (const auto &m : members) {
+			doc.members.push_back(new_member(m.first, m.second));
+			doc.numbers.push_back(number_of(m.first, m.second));
+		}
+		doc.previous = previous;
+		for (auto &m : doc.members)
+			doc.member_ptrs.push_back(&m);
+		for (auto &m : doc.previous)
+			doc.previous_ptrs.push_back(&m);
+		doc.cell = BC__CELL__INIT;
+		doc.cell.version = cells_.size();
+		doc.cell.n_members = doc.member_ptrs.size();
+		doc.cell.members = doc.member_ptrs.data();
+		doc.cell.n_previous = doc.previous_ptrs.size();
+		doc.cell.previous = doc.previous_ptrs.data();
+	}
+
+	/* Compare-and-set; a version is written only after the one before took effect at the
+	 * writer.
+	 */
+	bool write_cell(int writer, const std::vector<std::pair<int, int>> &members)
+	{
+		const Node &node = nodes_[(size_t)writer];
+
+		if (fixed_ || !store_up_ || members.empty() || node.active != node.known ||
+		    node.known != cells_.size())
+			return false;
+		add_cell(members, cells_.back().members);
+		if (chance(0.7))
+			learn(writer, cells_.size());
+		return true;
+	}
+
+	void propose(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+		clk_ms now = clock(node);
+		std::vector<std::pair<int, int>> lives;
+		std::vector<struct member_candidate> candidates;
+		std::deque<std::string> names;
+		bool is_member = false, member_left = false;
+
+		if (node.active != node.known || node.known == 0)
+			return;
+		const CellDoc &doc = cells_[node.known - 1];
+		for (const auto &m : doc.members)
+			lives.push_back({atoi(m.id + 1), atoi(m.incarnation + 1)});
+		for (const auto &life : lives) {
+			is_member |= life.first == i && life.second == node.incarnation;
+			member_left |= !has_ended(node, life.first, life.second);
+		}
+		/* Without any member left another router has to write. */
+		if (!is_member && member_left)
+			return;
+		for (const auto &entry : node.heard) {
+			std::pair<int, int> life(entry.second.id, entry.second.incarnation);
+
+			if (std::find(lives.begin(), lives.end(), life) == lives.end())
+				lives.push_back(life);
+		}
+		for (const auto &life : lives) {
+			struct member_candidate c = {};
+			auto it = node.heard.find(number_of(life.first, life.second));
+			bool self = life.first == i && life.second == node.incarnation;
+
+			names.push_back("r" + std::to_string(life.first));
+			c.id = names.back().c_str();
+			names.push_back(incarnation_of(life.second));
+			c.incarnation = names.back().c_str();
+			c.silent_for =
+				now - (it == node.heard.end() ? node.known_since : it->second.at);
+			if (self)
+				c.silent_for = 0;
+			c.gone = has_ended(node, life.first, life.second);
+			c.connected = self || (it != node.heard.end() && !c.gone &&
+					       c.silent_for <= (clk_ms)CONNECTED_MS);
+			candidates.push_back(c);
+		}
+		std::unique_ptr<bool[]> keep(new bool[candidates.size()]);
+		if (!member_propose(&doc.cell, candidates.data(), candidates.size(), keep.get()))
+			return;
+		std::vector<std::pair<int, int>> kept;
+		for (size_t k = 0; k < lives.size(); k++) {
+			if (keep[k])
+				kept.push_back(lives[k]);
+		}
+		write_cell(i, kept);
+	}
+
+	/* ---- network ---- */
+
+	bool is_blocked(int from, int to) const
+	{
+		if (!group_.empty() && group_[(size_t)from] != group_[(size_t)to])
+			return true;
+		return blocked_.count({from, to}) != 0;
+	}
+
+	double delay(int to)
+	{
+		if (quiet_)
+			return unit() * QUIET_DELAY_MS;
+		if (to == slow_)
+			return SLOW_MS + unit() * SLOW_MS;
+		return chance(late_) ? unit() * 3000 : unit() * max_delay_;
+	}
+
+	void send(Message msg)
+	{
+		const Node &to = nodes_[(size_t)msg.to];
+
+		if (!quiet_ && (is_blocked(msg.from, msg.to) || chance(loss_)))
+			return;
+		msg.to_number = to.number;
+		push_message(now_ + delay(msg.to), msg);
+		if (!quiet_ && chance(repeat_))
+			push_message(now_ + delay(msg.to), msg);
+	}
+
+	Message message(MessageKind kind, int from, int to)
+	{
+		Message msg = {};
+		const Node &node = nodes_[(size_t)from];
+
+		msg.kind = kind;
+		msg.from = from;
+		msg.from_incarnation = node.incarnation;
+		msg.from_number = node.number;
+		msg.to = to;
+		return msg;
+	}
+
+	void send_ask(int i, const struct lease_ask &ask)
+	{
+		const Node &node = nodes_[(size_t)i];
+
+		for (size_t j = 0; j < nodes_.size(); j++) {
+			const std::vector<uint64_t> &members = cells_[node.active - 1].numbers;
+
+			if ((int)j == i || std::find(members.begin(), members.end(),
+						     nodes_[j].number) == members.end())
+				continue;
+			Message msg = message(ASK, i, (int)j);
+			msg.ask = ask;
+			send(msg);
+		}
+	}
+
+	void receive(int i, const Message &msg)
+	{
+		Node &node = nodes_[(size_t)i];
+
+		if (node.number != msg.to_number)
+			return;
+		if (msg.kind == ASK) {
+			Message reply = message(REPLY, i, msg.from);
+
+			lease_on_ask(node.lease, clock(node), msg.from_number, &msg.ask,
+				     &reply.reply);
+			if (nodes_[(size_t)msg.from].number == msg.from_number)
+				send(reply);
+		} else if (msg.kind == REPLY) {
+			lease_on_reply(node.lease, clock(node), msg.from_number, &msg.reply);
+		} else {
+			hear(node, msg.from_number, msg.from, msg.from_incarnation, msg.version);
+			learn(i, msg.version);
+		}
+		check(i);
+	}
+
+	/* ---- events ---- */
+
+	void tick(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+		clk_ms now = clock(node);
+		struct lease_ask ask;
+
+		if (now >= node.next_poll) {
+			node.next_poll = now + 300 + (clk_ms)below(700);
+			if (store_up_ && !fixed_)
+				learn(i, cells_.size());
+		}
+		try_activate(i);
+		if (now >= node.next_proposal) {
+			node.next_proposal = now + 300 + (clk_ms)below(300);
+			if (!fixed_)
+				propose(i);
+		}
+		if (node.active && lease_tick(node.lease, now, utc(node), &ask))
+			send_ask(i, ask);
+		if (now >= node.next_heartbeat && !fixed_) {
+			node.next_heartbeat = now + (clk_ms)HEARTBEAT_MS;
+			hear(node, node.number, i, node.incarnation, node.known);
+			for (size_t j = 0; j < nodes_.size(); j++) {
+				if ((int)j == i || !nodes_[j].up)
+					continue;
+				Message msg = message(HEARTBEAT, i, (int)j);
+				msg.version = node.known;
+				send(msg);
+			}
+		}
+		check(i);
+	}
+
+	void deliver(const Event &ev, Message msg)
+	{
+		Node &node = nodes_[(size_t)ev.node];
+
+		/* Late messages of the faulty time are lost in the quiet time. */
+		if (!node.up ||
+		    (quiet_ && ev.at > quiet_at_ + QUIET_DELAY_MS && ev.seq < quiet_seq_))
+			return;
+		if (node.paused)
+			node.inbox.push_back(msg);
+		else
+			receive(ev.node, msg);
+	}
+
+	void handle(const Event &ev)
+	{
+		Node &node = nodes_[(size_t)ev.node];
+
+		switch (ev.kind) {
+		case TICK:
+			if (!node.up || node.life != ev.life)
+				return;
+			if (!node.paused)
+				tick(ev.node);
+			push(now_ + 1 + unit() * (max_tick_ - 1), TICK, ev.node, ev.life);
+			break;
+		case DELIVER:
+			deliver(ev, pool_[ev.msg]);
+			free_.push_back(ev.msg);
+			break;
+		case RESUME:
+			if (node.up && node.paused && node.life == ev.life)
+				resume(ev.node);
+			break;
+		case START:
+			if (!node.up && !node.dead)
+				start(ev.node);
+			break;
+		case RELEASE:
+			if (node.life == ev.life)
+				release(ev.node);
+			break;
+		case FAULT:
+			if (quiet_)
+				return;
+			fault();
+			push(now_ + unit() * 2 * fault_every_, FAULT, 0);
+			break;
+		}
+	}
+
+	void resume(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+		std::vector<Message> inbox;
+
+		node.paused = false;
+		/* It goes on as if nothing had happened: this is when it would act. */
+		check(i);
+		inbox.swap(node.inbox);
+		for (const auto &msg : inbox) {
+			if (node.up)
+				receive(i, msg);
+		}
+	}
+
+	void release(int i)
+	{
+		Node &node = nodes_[(size_t)i];
+		struct lease_ask ask;
+
+		if (node.up && !node.paused && node.active &&
+		    lease_release(node.lease, clock(node), &ask))
+			send_ask(i, ask);
+	}
+
+	int random_up()
+	{
+		size_t first = below(nodes_.size());
+
+		for (size_t k = 0; k < nodes_.size(); k++) {
+			size_t i = (first + k) % nodes_.size();
+
+			if (nodes_[i].up)
+				return (int)i;
+		}
+		return -1;
+	}
+
+	int holder_or_random()
+	{
+		return holder_ >= 0 && nodes_[(size_t)holder_].up && chance(0.6) ? holder_
+										 : random_up();
+	}
+
+	void lose(int i)
+	{
+		stop(i);
+		nodes_[(size_t)i].dead = true;
+		/* A replacement instance has a new id. */
+		if (chance(0.5) && nodes_.size() < size_ * 2) {
+			nodes_.emplace_back();
+			if (!group_.empty())
+				group_.push_back((int)below(2));
+			push(now_ + unit() * 1000, START, (int)nodes_.size() - 1);
+		}
+	}
+
+	size_t count_up() const
+	{
+		size_t up = 0;
+
+		for (const auto &node : nodes_)
+			up += node.up;
+		return up;
+	}
+
+	void fault()
+	{
+		int i = holder_or_random();
+
+		if (i < 0)
+			return;
+		Node &node = nodes_[(size_t)i];
+		switch (below(16)) {
+		case 0: /* two sides */
+			group_.clear();
+			for (size_t k = 0; k < nodes_.size(); k++)
+				group_.push_back((int)below(2));
+			break;
+		case 1: /* one node alone */
+			group_.assign(nodes_.size(), 0);
+			group_[(size_t)i] = 1;
+			break;
+		case 2:
+		case 3:
+			group_.clear();
+			blocked_.clear();
+			break;
+		case 4: /* a few one-way links */
+			for (size_t k = 0; k < nodes_.size(); k++)
+				blocked_[{random_up(), random_up()}] = 1;
+			break;
+		case 5:
+		case 6:
+			node.paused = true;
+			push(now_ + (chance(0.5) ? unit() * 300 : unit() * 2500), RESUME, i,
+			     node.life);
+			break;
+		case 7:
+			stop(i);
+			push(now_ + unit() * 200, START, i);
+			break;
+		case 8: /* several restart together */
+			for (size_t k = 0; k < size_ / 2; k++) {
+				int j = random_up();
+
+				if (j < 0)
+					break;
+				stop(j);
+				push(now_ + unit() * 200, START, j);
+			}
+			break;
+		case 9:
+			if (!fixed_ && count_up() > 2)
+				lose(i);
+			break;
+		case 10:
+			if (fixed_ || half_lost_ || count_up() <= 3)
+				break;
+			half_lost_ = true;
+			for (size_t k = count_up() / 2; k > 0; k--)
+				lose(random_up());
+			break;
+		case 11:
+			set_rate(node, random_rate());
+			break;
+		case 12:
+			release(i);
+			break;
+		case 13:
+			slow_ = i;
+			break;
+		case 14:
+			slow_ = -1;
+			break;
+		case 15:
+			store_up_ = chance(0.6);
+			break;
+		}
+		if (!fixed_ && chance(0.3))
+			operator_change();
+	}
+
+	/* Any set of running routers, often without the holder; harsher than the automatic rule. */
+	void operator_change()
+	{
+		int writer = random_up();
+		bool behind_holder = holder_ >= 0 && chance(0.5);
+		double share = behind_holder ? 0.3 : 0.2 + unit() * 0.8;
+		bool without_holder = behind_holder || chance(0.4);
+		std::vector<std::pair<int, int>> members;
+
+		if (writer < 0 || nodes_[(size_t)writer].paused)
+			return;
+		if (behind_holder && writer == holder_)
+			return;
+		for (size_t k = 0; k < nodes_.size(); k++) {
+			if (!nodes_[k].up || (without_holder && (int)k == holder_))
+				continue;
+			if (chance(share) || (behind_holder && (int)k == writer))
+				members.push_back({(int)k, nodes_[k].incarnation});
+		}
+		if (write_cell(writer, members) && behind_holder)
+			hide_from_holder(members);
+	}
+
+	/* The holder hears of the change late, and only through members of the old version. */
+	void hide_from_holder(const std::vector<std::pair<int, int>> &members)
+	{
+		store_up_ = false;
+		slow_ = holder_;
+		group_.clear();
+		blocked_.clear();
+		for (const auto &m : members) {
+			blocked_[{m.first, holder_}] = 1;
+			blocked_[{holder_, m.first}] = 1;
+		}
+	}
+
+	/* ---- checks ---- */
+
+	/* Only an event at a router can make it a holder, so checking that router is enough. */
+	void check(int i)
+	{
+		const Node &node = nodes_[(size_t)i];
+
+		if (!lease_is_held(node.lease, clock(node)))
+			return;
+		for (size_t j = 0; j < nodes_.size(); j++) {
+			const Node &other = nodes_[j];
+
+			if ((int)j != i && other.up && lease_is_held(other.lease, clock(other)))
+				fail("two holders, r" + std::to_string(i) + " number " +
+				     std::to_string(lease_number(node.lease)) + " and r" +
+				     std::to_string(j) + " number " +
+				     std::to_string(lease_number(other.lease)));
+		}
+		uint64_t number = lease_number(node.lease);
+		if (holder_ == i && holder_number_ == number)
+			return;
+		if (number <= highest_number_)
+			fail("number " + std::to_string(number) + " of r" + std::to_string(i) +
+			     " is not above " + std::to_string(highest_number_));
+		holder_ = i;
+		holder_number_ = number;
+		highest_number_ = number;
+		stats.holders++;
+		/* Holders in quick succession: their UTC clocks alone do not order their numbers.
+		 */
+		if (!quiet_ && chance(0.15))
+			push(now_ + unit() * 30, RELEASE, i, node.life);
+	}
+
+	void become_quiet(double at)
+	{
+		now_ = std::max(now_, at);
+		quiet_ = true;
+		quiet_at_ = now_;
+		quiet_seq_ = seq_;
+		store_up_ = true;
+		group_.clear();
+		blocked_.clear();
+		for (size_t i = 0; i < nodes_.size(); i++) {
+			if (!nodes_[i].up && !nodes_[i].dead)
+				start((int)i);
+			else if (nodes_[i].up && nodes_[i].paused)
+				resume((int)i);
+		}
+	}
+
+	bool is_held_now() const
+	{
+		if (holder_ < 0)
+			return false;
+		const Node &node = nodes_[(size_t)holder_];
+		return node.up && lease_is_held(node.lease, clock(node)) &&
+		       lease_number(node.lease) == holder_number_;
+	}
+
+	/* Every running router is a member of the last cell version and uses it, and nobody else
+	 * is.
+	 */
+	bool is_settled() const
+	{
+		const std::vector<uint64_t> &members = cells_.back().numbers;
+		size_t running = 0;
+
+		for (const auto &node : nodes_) {
+			if (!node.up)
+				continue;
+			running++;
+			if (node.active != cells_.size() ||
+			    std::find(members.begin(), members.end(), node.number) == members.end())
+				return false;
+		}
+		return running == members.size();
+	}
+
+	/* Fails unless the membership settles, then a router holds the lease in time and keeps it.
+	 */
+	bool is_finished()
+	{
+		double bound = lease_bound(cells_.back().numbers.size());
+
+		if (!is_settled()) {
+			settled_at_ = held_at_ = -1;
+			if (now_ > quiet_at_ + MEMBERS_BOUND_MS)
+				fail("membership does not settle");
+			return false;
+		}
+		if (settled_at_ < 0)
+			settled_at_ = now_;
+		if (held_at_ < 0 && is_held_now()) {
+			held_at_ = now_;
+			held_number_ = holder_number_;
+		}
+		if (held_at_ < 0) {
+			if (now_ > settled_at_ + bound)
+				fail("nobody holds the lease");
+			return false;
+		}
+		if (!is_held_now() || holder_number_ != held_number_) {
+			/* A lease under the version before may still run out. */
+			if (now_ > settled_at_ + bound)
+				fail("holder lost the lease in a quiet network");
+			held_at_ = -1;
+			return false;
+		}
+		if (now_ < held_at_ + STABLE_MS)
+			return false;
+		stats.longest_wait = std::max(stats.longest_wait, held_at_ - settled_at_);
+		stats.longest_settle = std::max(stats.longest_settle, settled_at_ - quiet_at_);
+		return true;
+	}
+};
+
+bool check_size(size_t n, bool fixed)
+{
+	std::string name = "lease of " + std::to_string(n) + " routers, " +
+			   (fixed ? "fixed membership" : "changing membership");
+
+	return rc::check(name, [=] {
+		const auto seed = *rc::gen::arbitrary<uint64_t>();
+
+		for (int k = 0; k < schedules_per_case(n); k++) {
+			Schedule schedule(n, fixed, rnd_mix(seed, (uint64_t)k));
+			const std::string error = schedule.run();
+
+			if (!error.empty())
+				RC_FAIL(error);
+		}
+	});
+}
+
+bool run()
+{
+	bool ok = true;
+
+	for (size_t n : {3, 5, 6, 12}) {
+		ok = check_size(n, true) && ok;
+		ok = check_size(n, false) && ok;
+		if (!ok && mutant_active)
+			break;
+	}
+	printf("%ld schedules, %ld holders, %ld cell versions; quiet: members settled after at "
+	       "most %.0f ms, lease held %.0f ms later at most\n",
+	       stats.schedules, stats.holders, stats.versions, stats.longest_settle,
+	       stats.longest_wait);
+	return ok;
+}
+
+const char *const mutants[] = {
+	"confirmation_not_kept",  "count_from_reply",		"restart_confirms_at_once",
+	"version_at_once",	  "version_without_lease_time", "minority_as_majority",
+	"new_members_counted",	  "old_version_confirmed",	"number_ignores_utc",
+	"number_ignores_reports", "no_drift_allowance",		"expiry_ignored",
+	"late_reply_counted",	  "late_release_accepted",	nullptr,
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	return prop_main(argc, argv, mutants, run);
+}
