--- a/src/version/plan.h
+++ b/src/version/plan.h
@@ -40,13 +40,22 @@
 	bool refused;
 	struct str refusal; /* promise that would break and the smallest change that helps */
 	struct str text;    /* for people */
-	struct str json;
+	struct str json;    /* object with plan, version, refused, refusal, text, steps and so on */
 	Bc__Config
 		*result; /* configuration version + 1, NULL if refused; free with config_free() */
 };
 
-/* False with ERR_INPUT when the intent cannot be read, ERR_CONFLICT when the version is not the
- * one in force; the message then names who changed what since and how to plan again. */
+/*
+ * False with ERR_INPUT when the intent cannot be read, ERR_NOT_FOUND when it names something that
+ * is not configured, ERR_CONFLICT when the version is older than the one in force (the message then
+ * names who changed what since and how to plan again), ERR_UNAVAILABLE when this router holds an
+ * older configuration than the plan or none. `config` in the inputs is NULL before the first
+ * configuration; only `apply` can be planned then. Version 0 in the request means the one in force.
+ *
+ * To confirm: answer "already done" if plan_find() knows the identity; otherwise call plan_make()
+ * with the version of the plan, compare the identity, and write `result` by compare-and-set on
+ * that version.
+ */
 bool plan_make(struct arena *arena, const struct plan_inputs *in, const struct plan_request *req,
 	       clk_ms utc, struct plan *out, struct err *err);
 
