--- a/src/version/plan_check.c
+++ b/src/version/plan_check.c
@@ -91,9 +91,8 @@
 
 static struct str check_capacity(const struct plan_change *ch)
 {
-	/* A statement about a dead upstream takes nothing away that is still there.
-	 * Mutant: capacity is not checked. */
-	if (ch->intent->verb == PLAN_DECLARE_DEAD || MUTANT(plan_skip_capacity))
+	/* Mutant: capacity is not checked. */
+	if (MUTANT(plan_skip_capacity))
 		return STR_NULL;
 	for (size_t i = 0; i < ch->n_cap_after; i++) {
 		const struct plan_capacity *now = &ch->cap_after[i];
@@ -300,8 +299,12 @@
 
 struct str plan_refusal(const struct plan_change *ch)
 {
-	struct str why = check_file(ch);
+	struct str why;
 
+	/* A statement about a dead upstream takes nothing away that is still there. */
+	if (ch->intent->verb == PLAN_DECLARE_DEAD)
+		return STR_NULL;
+	why = check_file(ch);
 	if (!why.len)
 		why = check_homes(ch);
 	if (!why.len)
