--- a/src/version/assign_doc.c
+++ b/src/version/assign_doc.c
@@ -109,7 +109,8 @@
 
 static void *insert(void *list, size_t *n, size_t at, void *item)
 {
-	void **grown = realloc(list, (*n + 1) * sizeof(*grown));
+	void **grown = *n < SIZE_MAX / sizeof(*grown) - 1 ? realloc(list, (*n + 1) * sizeof(*grown))
+							  : NULL;
 
 	if (!grown)
 		abort();
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -353,21 +353,10 @@
 	return check_region_list(ck, fd->id, "region", &fd->region, 1);
 }
 
-static bool check_service_regions(struct check *ck, const Bc__Service *s)
+static bool check_region_weights(struct check *ck, const Bc__Service *s)
 {
 	uint64_t total = 0;
 
-	if (s->n_regions == 0)
-		return FAULT(ck, s->id, "regions", "is empty; name at least one region");
-	if (!check_region_list(ck, s->id, "regions", s->regions, s->n_regions))
-		return false;
-	for (size_t i = 0; i < s->n_regions; i++) {
-		if (config_slots(ck->c, str_from(s->id), str_from(s->regions[i])) == 0)
-			return FAULT(ck, s->id, "regions",
-				     "no upstream of the service stands in region '%.64s'; add one "
-				     "or remove the region",
-				     s->regions[i]);
-	}
 	if (s->n_region_weights == 0)
 		return true;
 	for (size_t i = 0; i < s->n_region_weights; i++)
@@ -380,6 +369,28 @@
 	return true;
 }
 
+static bool check_service_regions(struct check *ck, const Bc__Service *s)
+{
+	if (s->n_regions == 0)
+		return FAULT(ck, s->id, "regions", "is empty; name at least one region");
+	return check_region_list(ck, s->id, "regions", s->regions, s->n_regions) &&
+	       check_region_weights(ck, s);
+}
+
+static bool check_service_upstreams(struct check *ck)
+{
+	const Bc__Service *s = ck->c->services[ck->index];
+
+	for (size_t i = 0; i < s->n_regions; i++) {
+		if (config_slots(ck->c, str_from(s->id), str_from(s->regions[i])) == 0)
+			return FAULT(ck, s->id, "regions",
+				     "no upstream of the service stands in region '%.64s'; add one "
+				     "or remove the region",
+				     s->regions[i]);
+	}
+	return true;
+}
+
 static bool check_service(struct check *ck)
 {
 	const Bc__Service *s = ck->c->services[ck->index];
@@ -528,28 +539,26 @@
 
 bool config_check_where(const Bc__Config *c, struct config_fault *where, struct err *err)
 {
+	/* Each pass relies on what the ones before it have checked. */
 	const struct {
+		enum config_section section;
 		size_t n;
 		bool (*one)(struct check *ck);
-	} sections[CONFIG_SECTIONS] = {
-		[CONFIG_REGIONS] = {c->n_regions, check_region},
-		[CONFIG_FAILURE_DOMAINS] = {c->n_failure_domains, check_failure_domain},
-		[CONFIG_SERVICES] = {c->n_services, check_service},
-		[CONFIG_ROUTES] = {c->n_routes, check_route},
-		[CONFIG_ACCOUNTS] = {c->n_account_homes, check_account},
-		[CONFIG_UPSTREAMS] = {c->n_upstreams, check_upstream},
-	};
-	/* Upstreams come before services, whose check counts slots by region. */
-	static const enum config_section order[CONFIG_SECTIONS] = {
-		CONFIG_REGIONS,	 CONFIG_FAILURE_DOMAINS, CONFIG_UPSTREAMS,
-		CONFIG_SERVICES, CONFIG_ROUTES,		 CONFIG_ACCOUNTS,
+	} passes[] = {
+		{CONFIG_REGIONS, c->n_regions, check_region},
+		{CONFIG_FAILURE_DOMAINS, c->n_failure_domains, check_failure_domain},
+		{CONFIG_SERVICES, c->n_services, check_service},
+		{CONFIG_UPSTREAMS, c->n_upstreams, check_upstream},
+		{CONFIG_SERVICES, c->n_services, check_service_upstreams},
+		{CONFIG_ROUTES, c->n_routes, check_route},
+		{CONFIG_ACCOUNTS, c->n_account_homes, check_account},
 	};
 	struct check ck = {.c = c, .where = where, .err = err};
 
-	for (size_t i = 0; i < CONFIG_SECTIONS; i++) {
-		ck.section = order[i];
-		for (ck.index = 0; ck.index < sections[ck.section].n; ck.index++) {
-			if (!sections[ck.section].one(&ck))
+	for (size_t i = 0; i < sizeof(passes) / sizeof(passes[0]); i++) {
+		ck.section = passes[i].section;
+		for (ck.index = 0; ck.index < passes[i].n; ck.index++) {
+			if (!passes[i].one(&ck))
 				return false;
 		}
 	}
--- a/src/version/config_yaml.c
+++ b/src/version/config_yaml.c
@@ -487,12 +487,20 @@
 		const Bc__Service *old = base ? config_service(base, str_from(s->id)) : NULL;
 		bool kept = old && same_regions(s, old);
 		uint32_t *weights;
+		uint64_t sum = 0;
 
 		if (s->n_region_weights || !s->n_regions)
 			continue;
 		weights = zalloc(s->n_regions * sizeof(*weights));
-		for (size_t j = 0; j < s->n_regions; j++)
+		for (size_t j = 0; j < s->n_regions; j++) {
 			weights[j] = kept ? weight_of(base, old, j) : weight_of(c, s, j);
+			sum += weights[j];
+		}
+		/* Upstreams that stand elsewhere are reported by the checks that follow. */
+		if (sum == 0) {
+			free(weights);
+			continue;
+		}
 		s->region_weights = weights;
 		s->n_region_weights = s->n_regions;
 	}
