--- a/src/version/plan_check.c
+++ b/src/version/plan_check.c
@@ -305,9 +305,10 @@
 	if (ch->intent->verb == PLAN_DECLARE_DEAD)
 		return STR_NULL;
 	why = check_file(ch);
-	if (!why.len)
-		why = check_homes(ch);
+	/* Before the homes: where both fail, its remedy names what to bring back. */
 	if (!why.len)
 		why = check_capacity(ch);
+	if (!why.len)
+		why = check_homes(ch);
 	return why;
 }
