--- /dev/null
+++ b/src/tool/ctlprint.c
@@ -0,0 +1,133 @@
+#include "tool/ctlprint.h"
+
+static const char *text(const json_t *o, const char *name)
+{
+	const char *s = json_string_value(json_object_get(o, name));
+
+	return s ? s : "";
+}
+
+static json_int_t number(const json_t *o, const char *name)
+{
+	return json_integer_value(json_object_get(o, name));
+}
+
+static bool flag(const json_t *o, const char *name)
+{
+	return json_is_true(json_object_get(o, name));
+}
+
+static void print_alarms(FILE *out, const json_t *status)
+{
+	const json_t *list = json_object_get(status, "alarms");
+
+	if (json_array_size(list) == 0)
+		fputs("alarms: none\n", out);
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *a = json_array_get(list, i);
+
+		fprintf(out, "ALARM %s: %s\n", text(a, "alarm"), text(a, "detail"));
+	}
+}
+
+static json_int_t newest_version(const json_t *routers)
+{
+	json_int_t newest = 0;
+
+	for (size_t i = 0; i < json_array_size(routers); i++) {
+		json_int_t v = number(json_array_get(routers, i), "config_version");
+
+		newest = v > newest ? v : newest;
+	}
+	return newest;
+}
+
+static void print_routers(FILE *out, const json_t *status)
+{
+	const json_t *list = json_object_get(status, "routers");
+	json_int_t newest = newest_version(list);
+
+	fputs("routers of the cell\n", out);
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *r = json_array_get(list, i);
+		json_int_t version = number(r, "config_version");
+
+		fprintf(out, "  %-24s %-16s configuration %" JSON_INTEGER_FORMAT "%s%s\n",
+			text(r, "id"), text(r, "failure_domain"), version,
+			version < newest ? ", LACKS THE NEWEST" : "",
+			flag(r, "connected") ? "" : ", not connected");
+	}
+}
+
+static void print_upstreams(FILE *out, const json_t *service)
+{
+	const json_t *list = json_object_get(service, "upstreams");
+
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *u = json_array_get(list, i);
+
+		fprintf(out,
+			"    %-24s %-8s slots in use %" JSON_INTEGER_FORMAT
+			" of %" JSON_INTEGER_FORMAT ", queued %" JSON_INTEGER_FORMAT
+			", median %" JSON_INTEGER_FORMAT " ms\n",
+			text(u, "id"), text(u, "state"), number(u, "in_use"), number(u, "limit"),
+			number(u, "queued"), number(u, "service_p50_ms"));
+	}
+}
+
+static void print_services(FILE *out, const json_t *status)
+{
+	const json_t *list = json_object_get(status, "services");
+
+	fputs("services\n", out);
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *s = json_array_get(list, i);
+		const char *broker = text(s, "broker");
+
+		fprintf(out, "  %-24s broker %s%s", text(s, "service"), *broker ? broker : "NONE",
+			flag(s, "here") ? " (this router)" : "");
+		if (json_object_get(s, "moves"))
+			fprintf(out, ", %" JSON_INTEGER_FORMAT " moves under way",
+				number(s, "moves"));
+		if (json_object_get(s, "queued"))
+			fprintf(out, ", %" JSON_INTEGER_FORMAT " queued", number(s, "queued"));
+		fputc('\n', out);
+		print_upstreams(out, s);
+	}
+}
+
+void ctlprint_status(FILE *out, const json_t *status)
+{
+	fprintf(out,
+		"router %s in %s, failure domain %s: configuration %" JSON_INTEGER_FORMAT
+		", cell version %" JSON_INTEGER_FORMAT "%s%s\n",
+		text(status, "id"), text(status, "region"), text(status, "failure_domain"),
+		number(status, "config_version"), number(status, "cell_version"),
+		flag(status, "member") ? "" : ", not a member",
+		flag(status, "draining") ? ", draining" : "");
+	print_alarms(out, status);
+	print_routers(out, status);
+	print_services(out, status);
+}
+
+void ctlprint_add(struct ctlprint_progress *p, const json_t *status, uint64_t version, json_t *seen)
+{
+	const json_t *routers = json_object_get(status, "routers");
+	const json_t *services = json_object_get(status, "services");
+
+	for (size_t i = 0; i < json_array_size(routers); i++) {
+		const json_t *r = json_array_get(routers, i);
+
+		if (!flag(r, "connected") || json_object_get(seen, text(r, "id")))
+			continue;
+		json_object_set_new(seen, text(r, "id"), json_true());
+		p->routers++;
+		p->in_force += (uint64_t)number(r, "config_version") >= version;
+	}
+	for (size_t i = 0; i < json_array_size(services); i++) {
+		const json_t *s = json_array_get(services, i);
+
+		if (flag(s, "here"))
+			p->moves += (size_t)number(s, "moves");
+	}
+}
--- /dev/null
+++ b/src/tool/ctlprint.h
@@ -0,0 +1,24 @@
+/* Prints a router's status for people, and says how far a change has spread. */
+#ifndef TOOL_CTLPRINT_H
+#define TOOL_CTLPRINT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <jansson.h>
+
+void ctlprint_status(FILE *out, const json_t *status);
+
+struct ctlprint_progress {
+	size_t routers; /* connected members of the cells that were asked */
+	size_t in_force;
+	size_t moves; /* under way, as far as the asked routers are brokers */
+};
+
+/* Adds the status of one router; `seen` is a JSON object that keeps routers from counting twice. */
+void ctlprint_add(struct ctlprint_progress *p, const json_t *status, uint64_t version,
+		  json_t *seen);
+
+#endif
--- /dev/null
+++ b/src/tool/httpcall.c
@@ -0,0 +1,332 @@
+#include "tool/httpcall.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* 65,536 events of a few hundred bytes fit. */
+#define MAX_ANSWER_BYTES (64u * 1024 * 1024)
+#define READ_BYTES 65536
+#define MAX_HEADERS 64
+
+/* picohttpparser, exported by h2o's library, whose packages do not contain its header. */
+struct phr_header {
+	const char *name;
+	size_t name_len;
+	const char *value;
+	size_t value_len;
+};
+
+struct phr_chunked_decoder {
+	size_t bytes_left_in_chunk;
+	char consume_trailer;
+	char _hex_count;
+	char _state;
+};
+
+int phr_parse_response(const char *buf, size_t len, int *minor_version, int *status,
+		       const char **msg, size_t *msg_len, struct phr_header *headers,
+		       size_t *num_headers, size_t last_len);
+ssize_t phr_decode_chunked(struct phr_chunked_decoder *decoder, char *buf, size_t *bufsz);
+
+struct conn {
+	int fd;
+	const char *address;
+	clk_ms end;
+	struct err *err;
+};
+
+static bool parse_address(const char *text, struct sockaddr_in *out, struct err *err)
+{
+	char ip[INET_ADDRSTRLEN];
+	struct str port;
+	struct str host = str_split(str_from(text), ':', &port);
+	uint64_t n;
+
+	*out = (struct sockaddr_in){.sin_family = AF_INET};
+	if (host.len < sizeof(ip)) {
+		memcpy(ip, host.ptr, host.len);
+		ip[host.len] = '\0';
+		if (inet_pton(AF_INET, ip, &out->sin_addr) == 1 && str_to_u64(port, 65535, &n) &&
+		    n > 0) {
+			out->sin_port = htons((uint16_t)n);
+			return true;
+		}
+	}
+	return err_set(err, ERR_INPUT,
+		       "'%.64s' is not an address; write ip:port, for example 127.0.1.1:8001",
+		       text);
+}
+
+/* Waits until the socket is ready for `events`, at most until the end of the call. */
+static bool wait_for(const struct conn *c, short events)
+{
+	struct pollfd p = {.fd = c->fd, .events = events};
+
+	for (;;) {
+		clk_ms left = c->end - clk_now();
+		int n = left > 0 ? poll(&p, 1, (int)left) : 0;
+
+		if (n > 0)
+			return true;
+		if (n == 0)
+			return false;
+		if (errno != EINTR)
+			return false;
+	}
+}
+
+static bool open_conn(struct conn *c)
+{
+	struct sockaddr_in to;
+	int fault = 0;
+	socklen_t len = sizeof(fault);
+
+	if (!parse_address(c->address, &to, c->err))
+		return false;
+	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (c->fd < 0)
+		return err_set(c->err, ERR_IO, "no socket: %s; close other programs",
+			       strerror(errno));
+	if (connect(c->fd, (struct sockaddr *)&to, sizeof(to)) == 0)
+		return true;
+	if (errno == EINPROGRESS) {
+		if (!wait_for(c, POLLOUT))
+			return err_set(c->err, ERR_UNAVAILABLE,
+				       "%s: no connection in time; nothing was done, ask another "
+				       "router",
+				       c->address);
+		getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &fault, &len);
+		if (fault == 0)
+			return true;
+		errno = fault;
+	}
+	return err_set(c->err, ERR_UNAVAILABLE,
+		       "%s: no connection: %s; nothing was done, ask another router", c->address,
+		       strerror(errno));
+}
+
+static bool unknown(const struct conn *c, const char *what)
+{
+	return err_set(c->err, ERR_TIMEOUT,
+		       "%s: %s; it is not known whether the call was carried out", c->address,
+		       what);
+}
+
+static bool send_all(const struct conn *c, struct str data)
+{
+	size_t sent = 0;
+
+	while (sent < data.len) {
+		ssize_t n = send(c->fd, data.ptr + sent, data.len - sent, MSG_NOSIGNAL);
+
+		if (n > 0) {
+			sent += (size_t)n;
+		} else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+			if (!wait_for(c, POLLOUT))
+				return unknown(c, "the request could not be sent in time");
+		} else if (errno != EINTR) {
+			return unknown(c, strerror(errno));
+		}
+	}
+	return true;
+}
+
+static bool send_request(const struct conn *c, const struct httpcall *call)
+{
+	char *head = NULL;
+	size_t len = 0;
+	FILE *f = open_memstream(&head, &len);
+	bool ok;
+
+	if (!f)
+		abort();
+	fprintf(f, "%s %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n", call->method, call->path,
+		call->address);
+	if (call->credential)
+		fprintf(f, "authorization: Bearer %s\r\n", call->credential);
+	if (call->body.len || strcmp(call->method, "GET") != 0)
+		fprintf(f, "content-type: application/json\r\ncontent-length: %zu\r\n",
+			call->body.len);
+	fputs("\r\n", f);
+	fclose(f);
+	ok = send_all(c, (struct str){head, len}) && send_all(c, call->body);
+	free(head);
+	return ok;
+}
+
+/* ---- answer ---- */
+
+struct head {
+	int status;
+	size_t len;
+	bool chunked;
+	bool has_length;
+	size_t length;
+};
+
+static bool name_is(const struct phr_header *h, const char *name)
+{
+	return h->name && h->name_len == strlen(name) &&
+	       strncasecmp(h->name, name, h->name_len) == 0;
+}
+
+/* 1 when the head is complete, 0 when more is needed, -1 when it is not HTTP. */
+static int parse_head(struct str raw, struct head *out)
+{
+	struct phr_header headers[MAX_HEADERS];
+	size_t n = MAX_HEADERS;
+	const char *msg;
+	size_t msg_len;
+	int minor;
+	int len = phr_parse_response(raw.ptr, raw.len, &minor, &out->status, &msg, &msg_len,
+				     headers, &n, 0);
+
+	if (len < 0)
+		return len == -2 ? 0 : -1;
+	out->len = (size_t)len;
+	for (size_t i = 0; i < n; i++) {
+		struct str value = {headers[i].value, headers[i].value_len};
+		uint64_t length;
+
+		if (name_is(&headers[i], "content-length")) {
+			if (!str_to_u64(value, MAX_ANSWER_BYTES, &length))
+				return -1;
+			out->has_length = true;
+			out->length = (size_t)length;
+		}
+		if (name_is(&headers[i], "transfer-encoding"))
+			out->chunked = value.len >= 7 &&
+				       strncasecmp(value.ptr + value.len - 7, "chunked", 7) == 0;
+	}
+	return 1;
+}
+
+/* 1 when more arrived, 0 at the end of the connection, -1 on failure. */
+static int read_more(const struct conn *c, struct str *raw, char **buf, size_t *size)
+{
+	for (;;) {
+		ssize_t n;
+
+		if (*size - raw->len < READ_BYTES) {
+			char *grown = realloc(*buf, *size * 2 + READ_BYTES);
+
+			if (!grown)
+				abort();
+			*buf = grown;
+			*size = *size * 2 + READ_BYTES;
+		}
+		n = recv(c->fd, *buf + raw->len, READ_BYTES, 0);
+		if (n >= 0) {
+			raw->len += (size_t)n;
+			raw->ptr = *buf;
+			return n > 0;
+		}
+		if (errno == EINTR)
+			continue;
+		if (errno != EAGAIN && errno != EWOULDBLOCK)
+			return -1;
+		if (!wait_for(c, POLLIN))
+			return -1;
+	}
+}
+
+static bool answer_is_whole(const struct head *h, size_t received, bool ended)
+{
+	if (h->chunked)
+		return ended;
+	if (h->has_length)
+		return received - h->len >= h->length;
+	return ended;
+}
+
+static bool set_body(struct httpcall_answer *a, const struct head *h, size_t received)
+{
+	struct phr_chunked_decoder decoder = {.consume_trailer = 1};
+	size_t len = received - h->len;
+
+	if (h->chunked) {
+		if (phr_decode_chunked(&decoder, a->raw + h->len, &len) < 0)
+			return false;
+	} else if (h->has_length) {
+		len = h->length;
+	}
+	a->status = h->status;
+	a->head = (struct str){a->raw, h->len};
+	a->body = (struct str){a->raw + h->len, len};
+	return true;
+}
+
+static bool receive(const struct conn *c, struct httpcall_answer *a)
+{
+	struct str raw = STR_NULL;
+	struct head head = {0};
+	size_t size = 0;
+	int have_head = 0;
+	int more = 1;
+
+	while (more > 0) {
+		more = read_more(c, &raw, &a->raw, &size);
+		if (more < 0)
+			return unknown(c, "no whole answer in time");
+		if (raw.len > MAX_ANSWER_BYTES)
+			return unknown(c, "the answer is too long");
+		if (!have_head && raw.len)
+			have_head = parse_head(raw, &head);
+		if (have_head < 0)
+			return unknown(c, "the answer is not HTTP");
+		if (have_head && answer_is_whole(&head, raw.len, more == 0)) {
+			if (!set_body(a, &head, raw.len))
+				return unknown(c, "the answer ended early");
+			return true;
+		}
+	}
+	return unknown(c, "the connection ended before the whole answer");
+}
+
+bool httpcall(const struct httpcall *call, struct httpcall_answer *answer, struct err *err)
+{
+	struct conn c = {
+		.fd = -1, .address = call->address, .end = clk_now() + call->timeout, .err = err};
+	bool ok;
+
+	*answer = (struct httpcall_answer){0};
+	ok = open_conn(&c) && send_request(&c, call) && receive(&c, answer);
+	if (c.fd >= 0)
+		close(c.fd);
+	return ok;
+}
+
+void httpcall_free(struct httpcall_answer *answer)
+{
+	free(answer->raw);
+	*answer = (struct httpcall_answer){0};
+}
+
+struct str httpcall_header(const struct httpcall_answer *answer, const char *name)
+{
+	struct str rest = answer->head;
+
+	while (rest.len) {
+		struct str line = str_split(rest, '\n', &rest);
+		struct str value;
+		struct str key = str_split(line, ':', &value);
+
+		if (key.len != strlen(name) || strncasecmp(key.ptr, name, key.len) != 0)
+			continue;
+		while (value.len && (value.ptr[0] == ' ' || value.ptr[0] == '\t'))
+			value = (struct str){value.ptr + 1, value.len - 1};
+		while (value.len &&
+		       (value.ptr[value.len - 1] == '\r' || value.ptr[value.len - 1] == ' '))
+			value.len--;
+		return value;
+	}
+	return STR_NULL;
+}
