--- a/standin/grants.c
+++ b/standin/grants.c
@@ -134,12 +134,18 @@
 {
 	if (!g->expires)
 		return "no grant yet";
-	if (now >= g->expires)
-		return "the grant has expired";
 	if (!claim->has_fence)
 		return "no x-fence";
 	if (claim->fence < g->fence)
 		return "x-fence is lower than the granted fence";
+	return grants_refuse_commit(g, claim, now);
+}
+
+const char *grants_refuse_commit(const struct grants *g, const struct grant_claim *claim,
+				 clk_ms now)
+{
+	if (now >= g->expires)
+		return "the grant has expired";
 	if (grants_is_hot(g, claim))
 		return refuse_unit(find(g->hot, g->n_hot, claim->key_hash), claim->epoch);
 	if (claim->has_partition)
--- a/standin/grants.h
+++ b/standin/grants.h
@@ -51,7 +51,15 @@
  */
 bool grants_is_hot(const struct grants *g, const struct grant_claim *claim);
 
-/* Why the claim is refused now, NULL if it is covered. */
+/* Why a request with this claim is refused now, NULL if it is covered. */
 const char *grants_refuse(const struct grants *g, const struct grant_claim *claim, clk_ms now);
 
+/*
+ * The same for a request that has run, before its effect is committed. The fence is left out: a
+ * new broker that confirms the owner must not undo what its predecessor had admitted, or each
+ * planned stop of a router would interrupt requests.
+ */
+const char *grants_refuse_commit(const struct grants *g, const struct grant_claim *claim,
+				 clk_ms now);
+
 #endif
