--- a/test/unit_base.c
+++ b/test/unit_base.c
@@ -1,12 +1,9 @@
 /* Base modules: number parsing, splitting, arena strings, hybrid clock, error texts. */
-#include <check.h>
-#include <stdlib.h>
-#include <string.h>
-
 #include "base/arena.h"
 #include "base/err.h"
 #include "base/hlc.h"
 #include "base/str.h"
+#include "test/unit.h"
 
 /* Guards against overflow and trailing characters being accepted in header values. */
 START_TEST(number_parsing_is_strict)
@@ -68,21 +65,16 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *tc)
 {
-	Suite *s = suite_create("base");
-	TCase *tc = tcase_create("base");
-	SRunner *sr = srunner_create(s);
-	int failed;
-
 	tcase_add_test(tc, number_parsing_is_strict);
 	tcase_add_test(tc, split_without_separator_takes_all);
 	tcase_add_test(tc, arena_keeps_large_and_small_strings);
 	tcase_add_test(tc, hybrid_clock_follows_remote_stamp);
 	tcase_add_test(tc, error_prefix_keeps_the_cause);
-	suite_add_tcase(s, tc);
-	srunner_run_all(sr, CK_ENV);
-	failed = srunner_ntests_failed(sr);
-	srunner_free(sr);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	return unit_main(argc, argv, "base", UNIT_NO_MUTANTS, add_tests);
 }
--- /dev/null
+++ b/test/unit_loop.h
@@ -0,0 +1,261 @@
+/*
+ * A real loop for check programs, and a small HTTP server on it whose answers the test writes as
+ * raw bytes. Loops end on a condition; the guard only ends a test that hangs.
+ */
+#ifndef TEST_UNIT_LOOP_H
+#define TEST_UNIT_LOOP_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <h2o.h>
+
+#include "base/clk.h"
+#include "base/str.h"
+#include "connection/timer.h"
+
+#define UNIT_HANG_MS 60000
+
+typedef bool (*unit_cond)(void *data);
+
+/* Runs the loop until `cond` holds; false if that did not happen within the guard. */
+static inline bool unit_run_until(h2o_loop_t *loop, unit_cond cond, void *data)
+{
+	clk_ms give_up = clk_now() + UNIT_HANG_MS;
+
+	while (!cond(data)) {
+		if (clk_now() > give_up)
+			return false;
+		h2o_evloop_run(loop, 10);
+	}
+	return true;
+}
+
+/* Gives everything that is ready or due within `ms` its turn. */
+static inline void unit_run_for(h2o_loop_t *loop, clk_ms ms)
+{
+	clk_ms until = clk_now() + ms;
+
+	do
+		h2o_evloop_run(loop, 1);
+	while (clk_now() < until);
+}
+
+/* Lets h2o free closed sockets, then destroys the loop. */
+static inline void unit_loop_destroy(h2o_loop_t *loop)
+{
+	unit_run_for(loop, 0);
+	h2o_evloop_run(loop, 0);
+	timer_forget_loop(loop);
+	h2o_evloop_destroy(loop);
+}
+
+/* A listening socket on a free port of 127.0.0.0/8. */
+static inline int unit_listen(const char *ip, uint32_t *port)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)*port)};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	inet_pton(AF_INET, ip, &a.sin_addr);
+	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 || listen(fd, 128) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&a, &len) != 0) {
+		perror("unit_listen");
+		abort();
+	}
+	*port = ntohs(a.sin_port);
+	return fd;
+}
+
+/* A port that was free a moment ago. */
+static inline uint32_t unit_free_port(const char *ip)
+{
+	uint32_t port = 0;
+
+	close(unit_listen(ip, &port));
+	return port;
+}
+
+struct unit_server;
+
+struct unit_conn {
+	struct unit_server *server;
+	h2o_socket_t *sock; /* NULL once closed */
+	size_t number;	    /* 1 for the first connection of the server */
+	size_t served;	    /* whole requests received */
+	char *out;
+	char *later; /* bytes to write after the first part has been written */
+	size_t later_len;
+	bool close_after;
+	struct unit_conn *next;
+};
+
+struct unit_server {
+	h2o_loop_t *loop;
+	h2o_socket_t *listener;
+	const char *ip;
+	uint32_t port;
+	size_t accepted;
+	size_t closed; /* by the client */
+	size_t requests;
+	size_t bytes;
+	/* Called with each whole request; answers with unit_reply() or does not. */
+	void (*on_request)(struct unit_conn *c, struct str request, void *data);
+	void *data;
+	struct unit_conn *conns;
+};
+
+static inline void unit_close(struct unit_conn *c)
+{
+	if (c->sock)
+		h2o_socket_close(c->sock);
+	c->sock = NULL;
+	free(c->out);
+	free(c->later);
+	c->out = NULL;
+	c->later = NULL;
+}
+
+static inline void unit_on_written(h2o_socket_t *sock, const char *err)
+{
+	struct unit_conn *c = sock->data;
+	h2o_iovec_t iov = {c->later, c->later_len};
+
+	free(c->out);
+	c->out = c->later;
+	c->later = NULL;
+	if (err)
+		unit_close(c);
+	else if (c->out)
+		h2o_socket_write(sock, &iov, 1, unit_on_written);
+	else if (c->close_after)
+		unit_close(c);
+}
+
+/* Writes a copy of the bytes; one write at a time. */
+static inline void unit_reply(struct unit_conn *c, struct str bytes)
+{
+	h2o_iovec_t iov;
+
+	if (!c->sock)
+		return;
+	if (c->out)
+		abort();
+	c->out = malloc(bytes.len + 1);
+	memcpy(c->out, bytes.ptr, bytes.len);
+	iov = h2o_iovec_init(c->out, bytes.len);
+	h2o_socket_write(c->sock, &iov, 1, unit_on_written);
+}
+
+/* The same in two writes, the second after the first. */
+static inline void unit_reply_split(struct unit_conn *c, struct str bytes, size_t cut)
+{
+	if (cut == 0 || cut >= bytes.len) {
+		unit_reply(c, bytes);
+		return;
+	}
+	c->later_len = bytes.len - cut;
+	c->later = malloc(c->later_len);
+	memcpy(c->later, bytes.ptr + cut, c->later_len);
+	unit_reply(c, (struct str){bytes.ptr, cut});
+}
+
+/* Length of the whole request at the start of the input, 0 if it has not arrived yet. */
+static inline size_t unit_request_len(const char *buf, size_t len)
+{
+	const char *end = len ? memmem(buf, len, "\r\n\r\n", 4) : NULL;
+	const char *cl;
+	size_t total;
+
+	if (!end)
+		return 0;
+	total = (size_t)(end - buf) + 4;
+	cl = memmem(buf, total, "content-length: ", 16);
+	if (cl)
+		total += strtoul(cl + 16, NULL, 10);
+	return total <= len ? total : 0;
+}
+
+static inline void unit_on_data(h2o_socket_t *sock, const char *err)
+{
+	struct unit_conn *c = sock->data;
+	size_t len;
+
+	if (err) {
+		c->server->closed++;
+		unit_close(c);
+		return;
+	}
+	while (c->sock && (len = unit_request_len(sock->input->bytes, sock->input->size)) > 0) {
+		char *copy = malloc(len + 1);
+
+		memcpy(copy, sock->input->bytes, len);
+		copy[len] = '\0';
+		h2o_buffer_consume(&sock->input, len);
+		c->served++;
+		c->server->requests++;
+		c->server->bytes += len;
+		c->server->on_request(c, (struct str){copy, len}, c->server->data);
+		free(copy);
+	}
+}
+
+static inline void unit_on_accept(h2o_socket_t *listener, const char *err)
+{
+	struct unit_server *s = listener->data;
+	h2o_socket_t *sock;
+
+	while (!err && (sock = h2o_evloop_socket_accept(listener)) != NULL) {
+		struct unit_conn *c = calloc(1, sizeof(*c));
+
+		c->server = s;
+		c->sock = sock;
+		c->number = ++s->accepted;
+		c->next = s->conns;
+		s->conns = c;
+		sock->data = c;
+		h2o_socket_read_start(sock, unit_on_data);
+	}
+}
+
+static inline void unit_server_listen(struct unit_server *s)
+{
+	int fd = unit_listen(s->ip, &s->port);
+
+	s->listener = h2o_evloop_socket_create(s->loop, fd, H2O_SOCKET_FLAG_DONT_READ);
+	s->listener->data = s;
+	h2o_socket_read_start(s->listener, unit_on_accept);
+}
+
+static inline void unit_server_start(struct unit_server *s, h2o_loop_t *loop, const char *ip)
+{
+	timer_setup_process();
+	s->loop = loop;
+	s->ip = ip;
+	unit_server_listen(s);
+}
+
+/* Closes the listener and all connections; unit_server_listen() opens the same port again. */
+static inline void unit_server_stop(struct unit_server *s)
+{
+	if (s->listener)
+		h2o_socket_close(s->listener);
+	s->listener = NULL;
+	while (s->conns) {
+		struct unit_conn *c = s->conns;
+
+		s->conns = c->next;
+		unit_close(c);
+		free(c);
+	}
+}
+
+#endif
