--- a/src/process/store.h
+++ b/src/process/store.h
@@ -23,7 +23,7 @@
 	STORE_WRITTEN,
 	STORE_CONFLICT,	   /* somebody else wrote first; `version` is the one in the store */
 	STORE_NOT_WRITTEN, /* the store was not reached; nothing happened */
-	STORE_UNKNOWN,	   /* could not be resolved in time */
+	STORE_UNKNOWN,	   /* not resolved in time, or the row was replaced again since */
 };
 
 typedef void (*store_read_cb)(void *data, enum store_read_result result, uint64_t version,
--- /dev/null
+++ b/test/unit_settings.c
@@ -0,0 +1,338 @@
+/* Settings: a whole file, defaults, and the exact message for each kind of bad file. */
+#include "process/settings.h"
+#include "test/unit.h"
+
+#define FILE_NAME "build/test-settings.yaml"
+#define CREDENTIAL "operator_credential: 0123456789abcdef\n"
+
+static const char whole[] = "id: meseta-1\n"
+			    "region: meseta\n"
+			    "failure_domain: meseta-a\n"
+			    "callers: 127.0.1.1:8080\n"
+			    "operators: 127.0.1.1:8081\n"
+			    "peers: 127.0.1.1:8082\n"
+			    "seeds:\n"
+			    "  - 127.0.1.2:8082\n"
+			    "  - 127.0.1.3:8082\n"
+			    "table: 127.0.0.1:7000\n"
+			    "objects: 127.0.0.1:7001\n"
+			    "instances: 127.0.0.1:7002\n" CREDENTIAL "max_body_bytes: 1000\n"
+			    "link_bytes_per_second: 2000\n"
+			    "log_level: warn\n";
+
+static void write_file(const char *text, size_t len)
+{
+	FILE *f = fopen(FILE_NAME, "wb");
+
+	ck_assert_ptr_nonnull(f);
+	ck_assert_uint_eq(fwrite(text, 1, len, f), len);
+	fclose(f);
+}
+
+static bool load(const char *text, struct settings *s, struct err *err)
+{
+	write_file(text, strlen(text));
+	*err = (struct err){0};
+	return settings_load(FILE_NAME, s, err);
+}
+
+/* The whole file with the line of `field` (and its list) replaced by `line`. */
+static char *with(const char *field, const char *line)
+{
+	char start[64];
+	const char *at;
+	const char *end;
+	char *out = NULL;
+	size_t len;
+	FILE *f = open_memstream(&out, &len);
+
+	snprintf(start, sizeof(start), "\n%s:", field);
+	at = strncmp(whole, start + 1, strlen(start + 1)) == 0 ? whole : strstr(whole, start) + 1;
+	end = strchr(at, '\n') + 1;
+	while (*end == ' ')
+		end = strchr(end, '\n') + 1;
+	fwrite(whole, 1, (size_t)(at - whole), f);
+	fputs(line, f);
+	fputs(end, f);
+	fclose(f);
+	return out;
+}
+
+/* Checks that the file is refused with exactly this message, and that nothing is left behind. */
+static void refused(const char *text, const char *message)
+{
+	struct settings s;
+	struct err err;
+	char expected[600];
+
+	ck_assert_msg(!load(text, &s, &err), "accepted: %s", text);
+	ck_assert_int_eq(err.kind, ERR_SETTINGS);
+	snprintf(expected, sizeof(expected), "%s%s", FILE_NAME, message);
+	ck_assert_str_eq(err.msg, expected);
+	ck_assert_ptr_null(s.priv);
+	ck_assert_ptr_null(s.seeds);
+}
+
+static void refused_with(const char *field, const char *line, const char *message)
+{
+	char *text = with(field, line);
+
+	refused(text, message);
+	free(text);
+}
+
+#define ADDRESS "IP:PORT with an IPv4 number, for example 10.0.0.1:8080"
+#define NAME "1 to 64 letters, digits, '.', '_' or '-'"
+
+START_TEST(whole_file)
+{
+	struct settings s;
+	struct err err;
+
+	ck_assert_msg(load(whole, &s, &err), "%s", err.msg);
+	ck_assert_str_eq(s.id, "meseta-1");
+	ck_assert_str_eq(s.region, "meseta");
+	ck_assert_str_eq(s.failure_domain, "meseta-a");
+	ck_assert_str_eq(s.callers.ip, "127.0.1.1");
+	ck_assert_uint_eq(s.callers.port, 8080);
+	ck_assert_uint_eq(s.operators.port, 8081);
+	ck_assert_uint_eq(s.peers.port, 8082);
+	ck_assert_uint_eq(s.n_seeds, 2);
+	ck_assert_str_eq(s.seeds[1].ip, "127.0.1.3");
+	ck_assert_uint_eq(s.table.port, 7000);
+	ck_assert_uint_eq(s.objects.port, 7001);
+	ck_assert_uint_eq(s.instances.port, 7002);
+	ck_assert_str_eq(s.operator_credential, "0123456789abcdef");
+	ck_assert_uint_eq(s.max_body_bytes, 1000);
+	ck_assert_uint_eq(s.link_bytes_per_second, 2000);
+	ck_assert_int_eq(s.log_level, LOG_WARN);
+	settings_free(&s);
+}
+END_TEST
+
+START_TEST(defaults)
+{
+	static const char *const optional[] = {"seeds", "max_body_bytes", "link_bytes_per_second",
+					       "log_level"};
+
+	for (size_t i = 0; i < 4; i++) {
+		char *text = with(optional[i], "");
+		struct settings s;
+		struct err err;
+
+		ck_assert_msg(load(text, &s, &err), "%s", err.msg);
+		ck_assert_uint_eq(s.n_seeds, i == 0 ? 0 : 2);
+		ck_assert_uint_eq(s.max_body_bytes, i == 1 ? 16777216 : 1000);
+		ck_assert_uint_eq(s.link_bytes_per_second, i == 2 ? 3000000 : 2000);
+		ck_assert_int_eq(s.log_level, i == 3 ? LOG_INFO : LOG_WARN);
+		settings_free(&s);
+		free(text);
+	}
+}
+END_TEST
+
+START_TEST(each_required_field_is_named_when_missing)
+{
+	static const struct {
+		const char *field;
+		const char *remedy;
+	} required[] = {
+		{"id", NAME},
+		{"region", NAME},
+		{"failure_domain", NAME},
+		{"callers", ADDRESS},
+		{"operators", ADDRESS},
+		{"peers", ADDRESS},
+		{"table", ADDRESS},
+		{"objects", ADDRESS},
+		{"instances", ADDRESS},
+		{"operator_credential", "16 to 255 characters that are kept secret"},
+	};
+
+	for (size_t i = 0; i < sizeof(required) / sizeof(required[0]); i++) {
+		char message[256];
+
+		snprintf(message, sizeof(message), ":1: field '%s': missing; write %s",
+			 required[i].field, required[i].remedy);
+		refused_with(required[i].field, "", message);
+	}
+}
+END_TEST
+
+/* Guards against a misspelt option being ignored without a word. */
+START_TEST(unknown_and_repeated_fields)
+{
+	refused_with("log_level", "log_levle: warn\n",
+		     ":16: field 'log_levle': unknown; remove it or write one of id, region, "
+		     "failure_domain, callers, operators, peers, seeds, table, objects, instances, "
+		     "operator_credential, max_body_bytes, link_bytes_per_second, log_level");
+	refused_with("region", "region: meseta\nregion: pacifico\n",
+		     ":3: field 'region': given twice; write " NAME);
+}
+END_TEST
+
+START_TEST(wrong_types)
+{
+	refused_with("id", "id: [a, b]\n",
+		     ":1: field 'id': a list instead of a single value; write " NAME);
+	refused_with("id", "id: {a: b}\n",
+		     ":1: field 'id': fields instead of a single value; write " NAME);
+	refused_with("id", "id:\n", ":1: field 'id': empty; write " NAME);
+	refused_with("seeds", "seeds: 127.0.1.2:8082\n",
+		     ":7: field 'seeds': a single value instead of a list; write a list of at most "
+		     "256 peer addresses, one \"- IP:PORT\" a line");
+	refused_with(
+		"seeds", "seeds: {a: b}\n",
+		":7: field 'seeds': fields instead of a list; write a list of at most 256 peer "
+		"addresses, one \"- IP:PORT\" a line");
+	refused_with(
+		"seeds", "seeds:\n  - 127.0.1.2:8082\n  - [x]\n",
+		":9: field 'seeds', entry 2: a list instead of a single value; write " ADDRESS);
+	refused_with(
+		"seeds", "seeds:\n  - a: b\n",
+		":8: field 'seeds', entry 1: fields instead of a single value; write " ADDRESS);
+}
+END_TEST
+
+START_TEST(bad_values)
+{
+	refused_with("id", "id: a b\n", ":1: field 'id': 'a b' is not a name; write " NAME);
+	refused_with("callers", "callers: localhost:80\n",
+		     ":4: field 'callers': 'localhost:80' is not an address; write " ADDRESS);
+	refused_with("callers", "callers: 127.0.1.1\n",
+		     ":4: field 'callers': '127.0.1.1' is not an address; write " ADDRESS);
+	refused_with("callers", "callers: 127.0.1.1:0\n",
+		     ":4: field 'callers': '127.0.1.1:0' is not an address; write " ADDRESS);
+	refused_with("callers", "callers: 127.0.1.1:65536\n",
+		     ":4: field 'callers': '127.0.1.1:65536' is not an address; write " ADDRESS);
+	refused_with("callers", "callers: 127.0.1.256:80\n",
+		     ":4: field 'callers': '127.0.1.256:80' is not an address; write " ADDRESS);
+	refused_with("peers", "peers: 0.0.0.0:8082\n",
+		     ":6: field 'peers': 0.0.0.0 cannot be reached by others; write " ADDRESS);
+	refused_with("peers", "peers: 127.0.1.1:8080\n",
+		     ":6: field 'peers': the same address as 'callers'; write " ADDRESS);
+	refused_with("seeds", "seeds:\n  - 127.0.1.2:8082\n  - nowhere\n",
+		     ":9: field 'seeds', entry 2: 'nowhere' is not an address; write " ADDRESS);
+	refused_with("operator_credential", "operator_credential: short\n",
+		     ":13: field 'operator_credential': only 5 characters; write 16 to 255 "
+		     "characters that are kept secret");
+	refused_with("max_body_bytes", "max_body_bytes: 16777217\n",
+		     ":14: field 'max_body_bytes': '16777217' is not in the allowed range; write a "
+		     "whole number from 1 to 16777216");
+	refused_with(
+		"max_body_bytes", "max_body_bytes: 1.5\n",
+		":14: field 'max_body_bytes': '1.5' is not in the allowed range; write a whole "
+		"number from 1 to 16777216");
+	refused_with(
+		"link_bytes_per_second", "link_bytes_per_second: -1\n",
+		":15: field 'link_bytes_per_second': '-1' is not in the allowed range; write a "
+		"whole number from 1000 to 4294967295");
+	refused_with("log_level", "log_level: loud\n",
+		     ":16: field 'log_level': 'loud' is not a level; write debug, info, warn or "
+		     "error");
+}
+END_TEST
+
+/* Guards against the secret appearing in a message that ends in a log. */
+START_TEST(credential_is_never_repeated)
+{
+	char *text = with("operator_credential", "operator_credential: s3cret\n");
+	struct settings s;
+	struct err err;
+
+	ck_assert(!load(text, &s, &err));
+	ck_assert_ptr_null(strstr(err.msg, "s3cret"));
+	free(text);
+}
+END_TEST
+
+START_TEST(files_that_are_no_settings)
+{
+	struct settings s;
+	struct err err = {0};
+	char *big;
+
+	refused("", ":1: field 'id': missing; write " NAME);
+	refused("# only a comment\n", ":1: field 'id': missing; write " NAME);
+	refused("- a\n", ":1: the file is not a list of fields; write one 'field: value' a line, "
+			 "for example 'id: router-1'");
+	refused("just text\n", ":1: the file is not a list of fields; write one 'field: value' a "
+			       "line, for example 'id: router-1'");
+	refused("id: a\nregion: [b\n",
+		":3: not valid YAML: did not find expected ',' or ']'; write one 'field: value' a "
+		"line and quote values with special characters");
+	refused("id: a\n\tregion: b\n",
+		":2: not valid YAML: found a tab character that violates indentation; write one "
+		"'field: value' a line and quote values with special characters");
+	refused("id: a\n---\nid: b\n",
+		":2: a second document starts here; keep one document in the file and remove the "
+		"line '---'");
+	refused("id: &x a\nregion: *x\n", ":1: anchors and aliases ('&' and '*') are not "
+					  "supported; write the value itself or "
+					  "put it in quotes");
+	ck_assert(!settings_load("build/no-such-file.yaml", &s, &err));
+	ck_assert_str_eq(err.msg, "build/no-such-file.yaml: cannot be read: No such file or "
+				  "directory; give the path of the settings file");
+	big = malloc(300000);
+	memset(big, '#', 300000);
+	write_file(big, 300000);
+	ck_assert(!settings_load(FILE_NAME, &s, &err));
+	ck_assert_str_eq(err.msg, FILE_NAME ": over 256 KiB; give the path of the settings file");
+	free(big);
+}
+END_TEST
+
+START_TEST(limits_of_text_and_list)
+{
+	char *line = malloc(20000);
+	size_t at;
+
+	at = (size_t)sprintf(line, "id: ");
+	memset(line + at, 'x', 300);
+	sprintf(line + at + 300, "\n");
+	refused_with("id", line, ":1: field 'id': over 255 characters; write " NAME);
+	at = (size_t)sprintf(line, "seeds:\n");
+	for (int i = 0; i < 257; i++)
+		at += (size_t)sprintf(line + at, "  - 127.0.1.2:%d\n", 1000 + i);
+	refused_with("seeds", line,
+		     ":7: field 'seeds': over 256 entries; write a list of at most 256 peer "
+		     "addresses, one \"- IP:PORT\" a line");
+	free(line);
+}
+END_TEST
+
+START_TEST(address_parsing)
+{
+	struct settings_address a;
+	struct err err = {0};
+
+	ck_assert(settings_parse_address(STR_LIT("127.0.0.1:65535"), &a, &err));
+	ck_assert_str_eq(a.ip, "127.0.0.1");
+	ck_assert_uint_eq(a.port, 65535);
+	free(a.ip);
+	ck_assert(!settings_parse_address(STR_LIT("127.0.0.1:80:80"), &a, &err));
+	ck_assert_ptr_null(a.ip);
+	ck_assert_str_eq(err.msg, "'127.0.0.1:80:80' is not an address; write " ADDRESS);
+	ck_assert(!settings_parse_address(STR_NULL, &a, &err));
+	ck_assert(!settings_parse_address(STR_LIT("127.000.000.0001:80"), &a, &err));
+}
+END_TEST
+
+static void add_tests(TCase *tc)
+{
+	tcase_add_test(tc, whole_file);
+	tcase_add_test(tc, defaults);
+	tcase_add_test(tc, each_required_field_is_named_when_missing);
+	tcase_add_test(tc, unknown_and_repeated_fields);
+	tcase_add_test(tc, wrong_types);
+	tcase_add_test(tc, bad_values);
+	tcase_add_test(tc, credential_is_never_repeated);
+	tcase_add_test(tc, files_that_are_no_settings);
+	tcase_add_test(tc, limits_of_text_and_list);
+	tcase_add_test(tc, address_parsing);
+}
+
+int main(int argc, char **argv)
+{
+	return unit_main(argc, argv, "settings", UNIT_NO_MUTANTS, add_tests);
+}
--- /dev/null
+++ b/test/unit_store.c
@@ -0,0 +1,520 @@
+/* Table client against a small table on the same loop whose answers can be lost. */
+#include <inttypes.h>
+
+#include "process/store.h"
+#include "test/unit.h"
+#include "test/unit_loop.h"
+
+#define IP "127.0.0.3"
+
+enum fault {
+	FAULT_NONE,
+	FAULT_LOSE_AFTER,  /* the write takes effect, the connection closes without an answer */
+	FAULT_LOSE_BEFORE, /* the connection closes, nothing takes effect */
+	FAULT_LATE,	   /* as LOSE_BEFORE, but the write takes effect after the next read */
+	FAULT_SILENT,	   /* the write takes effect, no answer comes */
+	FAULT_503,
+	FAULT_503_AFTER, /* the write takes effect and 503 comes back */
+	FAULT_413,
+	FAULT_NO_ETAG,
+};
+
+/* One row. */
+struct table {
+	uint64_t version;
+	char body[128];
+	char token[17];
+	enum fault fault; /* of the next PUT, or of each GET for FAULT_503 and NO_ETAG */
+	bool overwrite;	  /* somebody else writes right after the next PUT took effect */
+	bool beaten;	  /* somebody else writes right before the next PUT */
+	size_t gets;
+	size_t puts;
+	size_t writes; /* that took effect with a token of the client */
+	char last_path[64];
+	char last_condition[64];
+	char *delayed; /* a PUT on its way */
+	struct unit_conn *conn;
+};
+
+struct fixture {
+	h2o_loop_t *loop;
+	struct unit_server server;
+	struct table table;
+	struct store *store;
+};
+
+static struct str header_of(const char *request, const char *name)
+{
+	char line[64];
+	const char *at;
+
+	snprintf(line, sizeof(line), "\r\n%s: ", name);
+	at = strstr(request, line);
+	if (!at)
+		return STR_NULL;
+	at += strlen(line);
+	return (struct str){at, strcspn(at, "\r")};
+}
+
+static void foreign_write(struct table *t)
+{
+	t->version++;
+	snprintf(t->body, sizeof(t->body), "other");
+	snprintf(t->token, sizeof(t->token), "ffffffffffffffff");
+}
+
+/* The table's rule: the condition must hold, then the version goes up by one. */
+static bool apply(struct table *t, const char *request)
+{
+	struct str match = header_of(request, "if-match");
+	char have[32];
+
+	snprintf(have, sizeof(have), "\"%" PRIu64 "\"", t->version);
+	if (match.ptr ? !str_eq_cstr(match, have) : t->version != 0)
+		return false;
+	t->version++;
+	t->writes++;
+	snprintf(t->body, sizeof(t->body), "%s", strstr(request, "\r\n\r\n") + 4);
+	snprintf(t->token, sizeof(t->token), "%.*s", STR_ARG(header_of(request, "x-write-token")));
+	return true;
+}
+
+static void answer(struct unit_conn *c, const char *status, const struct table *t, const char *body)
+{
+	char out[512];
+	char etag[128] = "";
+
+	if (t->version && t->fault != FAULT_NO_ETAG)
+		snprintf(etag, sizeof(etag), "etag: \"%" PRIu64 "\"\r\nx-write-token: %s\r\n",
+			 t->version, t->token);
+	snprintf(out, sizeof(out), "HTTP/1.1 %s\r\n%scontent-length: %zu\r\n\r\n%s", status, etag,
+		 strlen(body), body);
+	unit_reply(c, str_from(out));
+}
+
+static void on_get(struct unit_conn *c, const char *request, struct table *t)
+{
+	struct str have = header_of(request, "if-none-match");
+	char current[32];
+
+	t->gets++;
+	snprintf(current, sizeof(current), "\"%" PRIu64 "\"", t->version);
+	if (t->fault == FAULT_503)
+		answer(c, "503 Down", t, "");
+	else if (!t->version)
+		answer(c, "404 Not Found", t, "");
+	else if (str_eq_cstr(have, current))
+		answer(c, "304 Not Modified", t, "");
+	else
+		answer(c, "200 OK", t, t->body);
+	if (t->delayed) {
+		char *late = t->delayed;
+
+		t->delayed = NULL;
+		apply(t, late);
+		free(late);
+	}
+}
+
+static void on_put(struct unit_conn *c, const char *request, struct table *t)
+{
+	enum fault fault = t->fault;
+	bool written;
+
+	t->puts++;
+	snprintf(t->last_condition, sizeof(t->last_condition), "%.*s",
+		 STR_ARG(header_of(request, "if-match")));
+	if (fault != FAULT_503 && fault != FAULT_NO_ETAG)
+		t->fault = FAULT_NONE;
+	if (fault == FAULT_503 || fault == FAULT_413) {
+		answer(c, fault == FAULT_503 ? "503 Down" : "413 Too Large", t, "");
+		return;
+	}
+	if (fault == FAULT_LATE)
+		t->delayed = strdup(request);
+	if (fault == FAULT_LATE || fault == FAULT_LOSE_BEFORE) {
+		if (t->beaten)
+			foreign_write(t);
+		unit_close(c);
+		return;
+	}
+	if (t->beaten)
+		foreign_write(t);
+	t->beaten = false;
+	written = apply(t, request);
+	if (written && t->overwrite)
+		foreign_write(t);
+	if (fault == FAULT_LOSE_AFTER)
+		unit_close(c);
+	else if (fault == FAULT_503_AFTER)
+		answer(c, "503 Down", t, "");
+	else if (fault != FAULT_SILENT)
+		answer(c, written ? "200 OK" : "412 Precondition Failed", t, "");
+}
+
+static void on_request(struct unit_conn *c, struct str request, void *data)
+{
+	struct table *t = data;
+
+	sscanf(request.ptr, "%*s %63s", t->last_path);
+	if (strncmp(request.ptr, "GET ", 4) == 0)
+		on_get(c, request.ptr, t);
+	else
+		on_put(c, request.ptr, t);
+}
+
+static void setup(struct fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->loop = h2o_evloop_create();
+	f->server.on_request = on_request;
+	f->server.data = &f->table;
+	unit_server_start(&f->server, f->loop, IP);
+	f->store = store_create(f->loop, IP, f->server.port, 20261204);
+}
+
+static void teardown(struct fixture *f)
+{
+	store_destroy(f->store);
+	unit_server_stop(&f->server);
+	unit_loop_destroy(f->loop);
+	free(f->table.delayed);
+}
+
+struct outcome {
+	bool done;
+	int result;
+	uint64_t version;
+	char body[128];
+};
+
+static void on_read(void *data, enum store_read_result result, uint64_t version, struct str body)
+{
+	struct outcome *o = data;
+
+	ck_assert(!o->done);
+	*o = (struct outcome){.done = true, .result = (int)result, .version = version};
+	snprintf(o->body, sizeof(o->body), "%.*s", STR_ARG(body));
+}
+
+static void on_write(void *data, enum store_write_result result, uint64_t version)
+{
+	struct outcome *o = data;
+
+	ck_assert(!o->done);
+	*o = (struct outcome){.done = true, .result = (int)result, .version = version};
+}
+
+static bool is_done(void *data)
+{
+	return ((struct outcome *)data)->done;
+}
+
+static struct outcome read_row(struct fixture *f, uint64_t have)
+{
+	struct outcome o = {0};
+
+	store_read(f->store, STR_LIT("cell/meseta"), have, on_read, &o);
+	ck_assert(!o.done);
+	ck_assert(unit_run_until(f->loop, is_done, &o));
+	return o;
+}
+
+static struct outcome write_row(struct fixture *f, uint64_t expected, const char *body)
+{
+	struct outcome o = {0};
+
+	store_write(f->store, STR_LIT("cell/meseta"), expected, str_from(body), on_write, &o);
+	ck_assert(!o.done);
+	ck_assert(unit_run_until(f->loop, is_done, &o));
+	return o;
+}
+
+START_TEST(write_read_and_conditional_read)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	o = read_row(&f, 0);
+	ck_assert_int_eq(o.result, STORE_ABSENT);
+	o = write_row(&f, 0, "one");
+	ck_assert(o.result == STORE_WRITTEN && o.version == 1);
+	ck_assert_str_eq(f.table.last_path, "/t/cell/meseta");
+	ck_assert_uint_eq(strlen(f.table.token), 16);
+	o = write_row(&f, 1, "two");
+	ck_assert(o.result == STORE_WRITTEN && o.version == 2);
+	ck_assert_str_eq(f.table.last_condition, "\"1\"");
+	o = read_row(&f, 1);
+	ck_assert(o.result == STORE_ROW && o.version == 2);
+	ck_assert_str_eq(o.body, "two");
+	o = read_row(&f, 2);
+	ck_assert(o.result == STORE_NOT_MODIFIED && o.version == 2);
+	ck_assert(store_reachable(f.store));
+	ck_assert_uint_eq(f.server.accepted, 1);
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(row_name_is_escaped)
+{
+	struct fixture f;
+	struct outcome o = {0};
+
+	setup(&f);
+	store_read(f.store, STR_LIT("assign/a b?/\xc3\xa9"), 0, on_read, &o);
+	ck_assert(unit_run_until(f.loop, is_done, &o));
+	ck_assert_str_eq(f.table.last_path, "/t/assign/a%20b%3F/%C3%A9");
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(conflict_names_the_version_in_the_store)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 4;
+	o = write_row(&f, 2, "mine");
+	ck_assert(o.result == STORE_CONFLICT && o.version == 4);
+	o = write_row(&f, 0, "mine");
+	ck_assert(o.result == STORE_CONFLICT && o.version == 4);
+	ck_assert_uint_eq(f.table.writes, 0);
+	teardown(&f);
+}
+END_TEST
+
+/* Guards P2 and P11: an answer that was lost after the effect must be found to be written. */
+START_TEST(lost_answer_after_the_write)
+{
+	static const enum fault faults[] = {FAULT_LOSE_AFTER, FAULT_SILENT, FAULT_503_AFTER};
+
+	for (size_t i = 0; i < 3; i++) {
+		struct fixture f;
+		struct outcome o;
+
+		setup(&f);
+		f.table.version = 6;
+		f.table.fault = faults[i];
+		o = write_row(&f, 6, "mine");
+		ck_assert_int_eq(o.result, STORE_WRITTEN);
+		ck_assert_uint_eq(o.version, 7);
+		ck_assert_uint_eq(f.table.writes, 1);
+		ck_assert_uint_eq(f.table.version, 7);
+		ck_assert_str_eq(f.table.body, "mine");
+		ck_assert(store_reachable(f.store));
+		teardown(&f);
+	}
+}
+END_TEST
+
+/* Guards against reporting a write that was lost on the way as written. */
+START_TEST(lost_request)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_LOSE_BEFORE;
+	o = write_row(&f, 6, "mine");
+	ck_assert_int_eq(o.result, STORE_WRITTEN);
+	ck_assert_uint_eq(f.table.version, 7);
+	ck_assert_uint_eq(f.table.writes, 1);
+	ck_assert_str_eq(f.table.body, "mine");
+	teardown(&f);
+}
+END_TEST
+
+/* The write is on its way while the row is read back: "not written" would be wrong later. */
+START_TEST(write_that_takes_effect_after_the_read_back)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_LATE;
+	o = write_row(&f, 6, "mine");
+	ck_assert_int_eq(o.result, STORE_WRITTEN);
+	ck_assert_uint_eq(o.version, 7);
+	ck_assert_uint_eq(f.table.writes, 1);
+	ck_assert_uint_eq(f.table.version, 7);
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(lost_answer_and_somebody_else_was_first)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_LOSE_AFTER;
+	f.table.beaten = true;
+	o = write_row(&f, 6, "mine");
+	ck_assert(o.result == STORE_CONFLICT && o.version == 7);
+	ck_assert_uint_eq(f.table.writes, 0);
+	/* The same with the request lost. */
+	f.table.fault = FAULT_LOSE_BEFORE;
+	f.table.beaten = true;
+	o = write_row(&f, 7, "mine");
+	ck_assert(o.result == STORE_CONFLICT && o.version == 8);
+	ck_assert_uint_eq(f.table.writes, 0);
+	teardown(&f);
+}
+END_TEST
+
+/* Ours was written and replaced: the row's token cannot tell, so neither outcome is claimed. */
+START_TEST(lost_answer_and_overwritten_is_unknown)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_LOSE_AFTER;
+	f.table.overwrite = true;
+	o = write_row(&f, 6, "mine");
+	ck_assert(o.result == STORE_UNKNOWN && o.version == 8);
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(store_down)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 3;
+	unit_server_stop(&f.server);
+	o = write_row(&f, 3, "mine");
+	ck_assert_int_eq(o.result, STORE_NOT_WRITTEN);
+	ck_assert(!store_reachable(f.store));
+	o = read_row(&f, 0);
+	ck_assert_int_eq(o.result, STORE_READ_FAILED);
+	unit_server_listen(&f.server);
+	o = read_row(&f, 0);
+	ck_assert_int_eq(o.result, STORE_ROW);
+	ck_assert(store_reachable(f.store));
+	teardown(&f);
+}
+END_TEST
+
+static bool put_arrived(void *data)
+{
+	return ((struct fixture *)data)->table.puts > 0;
+}
+
+/* Guards against a claim when the store goes away between the write and the read back. */
+START_TEST(store_goes_down_after_the_write)
+{
+	struct fixture f;
+	struct outcome o = {0};
+	clk_ms start = clk_now();
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_SILENT;
+	store_write(f.store, STR_LIT("config"), 6, STR_LIT("mine"), on_write, &o);
+	ck_assert(unit_run_until(f.loop, put_arrived, &f));
+	unit_server_stop(&f.server);
+	ck_assert(unit_run_until(f.loop, is_done, &o));
+	ck_assert_int_eq(o.result, STORE_UNKNOWN);
+	ck_assert_int_ge(clk_now() - start, STORE_RESOLVE_MS);
+	ck_assert(!store_reachable(f.store));
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(refusal_for_another_reason_is_not_written)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_413;
+	o = write_row(&f, 6, "mine");
+	ck_assert_int_eq(o.result, STORE_NOT_WRITTEN);
+	ck_assert_uint_eq(f.table.writes, 0);
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(unusable_answers_to_a_read)
+{
+	struct fixture f;
+	struct outcome o;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_503;
+	o = read_row(&f, 0);
+	ck_assert_int_eq(o.result, STORE_READ_FAILED);
+	ck_assert(!store_reachable(f.store));
+	f.table.fault = FAULT_NO_ETAG;
+	o = read_row(&f, 0);
+	ck_assert_int_eq(o.result, STORE_READ_FAILED);
+	teardown(&f);
+}
+END_TEST
+
+static void never_read(void *data, enum store_read_result result, uint64_t version, struct str body)
+{
+	ck_abort_msg("callback after store_destroy()");
+}
+
+static void never_write(void *data, enum store_write_result result, uint64_t version)
+{
+	ck_abort_msg("callback after store_destroy()");
+}
+
+/* Guards against callbacks into owners that are gone, and leaks of calls that wait. */
+START_TEST(destroy_with_open_calls)
+{
+	struct fixture f;
+
+	setup(&f);
+	f.table.version = 6;
+	f.table.fault = FAULT_LOSE_AFTER;
+	store_read(f.store, STR_LIT("config"), 0, never_read, NULL);
+	store_write(f.store, STR_LIT("config"), 6, STR_LIT("mine"), never_write, NULL);
+	ck_assert(unit_run_until(f.loop, put_arrived, &f));
+	store_destroy(f.store);
+	f.store = NULL;
+	unit_run_for(f.loop, 20);
+	teardown(&f);
+}
+END_TEST
+
+static const char *const mutants[] = {
+	"store_lost_means_written",
+	"store_lost_means_not_written",
+	NULL,
+};
+
+static void add_tests(TCase *tc)
+{
+	tcase_add_test(tc, write_read_and_conditional_read);
+	tcase_add_test(tc, row_name_is_escaped);
+	tcase_add_test(tc, conflict_names_the_version_in_the_store);
+	tcase_add_test(tc, lost_answer_after_the_write);
+	tcase_add_test(tc, lost_request);
+	tcase_add_test(tc, write_that_takes_effect_after_the_read_back);
+	tcase_add_test(tc, lost_answer_and_somebody_else_was_first);
+	tcase_add_test(tc, lost_answer_and_overwritten_is_unknown);
+	tcase_add_test(tc, store_down);
+	tcase_add_test(tc, store_goes_down_after_the_write);
+	tcase_add_test(tc, refusal_for_another_reason_is_not_written);
+	tcase_add_test(tc, unusable_answers_to_a_read);
+	tcase_add_test(tc, destroy_with_open_calls);
+}
+
+int main(int argc, char **argv)
+{
+	return unit_main(argc, argv, "store", mutants, add_tests);
+}
