timer: no zero delay; log: one write a line

Cause: run_due() changes the duration of the list that h2o is running; h2o computes its limit once a round, so with a first delay of 0 it called back until the next timer was due and no socket or other timer ran: routers never read a HELLO and ignored SIGTERM. Found by strace and gdb on a single router. Ruled out: own on_tick (never called), listener (accepted). Conclusion: smallest delay is 1 ms.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -5,6 +5,8 @@
 #include "base/clk.h"
 
 #define LOG_MESSAGE_BYTES 1024
+/* Every character of the message may need six for its escape. */
+#define LOG_LINE_BYTES (LOG_MESSAGE_BYTES * 6 + 1024)
 
 static const char *process_name = "";
 static enum log_level lowest_level = LOG_INFO;
@@ -51,6 +53,8 @@
 	       ...)
 {
 	char msg[LOG_MESSAGE_BYTES];
+	char line[LOG_LINE_BYTES];
+	FILE *f;
 	va_list ap;
 
 	if (level < lowest_level)
@@ -58,14 +62,20 @@
 	va_start(ap, fmt);
 	vsnprintf(msg, sizeof(msg), fmt, ap);
 	va_end(ap);
-	fprintf(stderr, "{\"utc_ms\":%lld,\"level\":\"%s\",\"process\":\"%s\",\"module\":\"%s\"",
+	f = fmemopen(line, sizeof(line), "w");
+	if (!f)
+		return;
+	fprintf(f, "{\"utc_ms\":%lld,\"level\":\"%s\",\"process\":\"%s\",\"module\":\"%s\"",
 		(long long)clk_utc(), level_names[level], process_name, log->module);
 	if (request_id.len) {
-		fputs(",\"request_id\":\"", stderr);
-		log_json_escape(stderr, request_id);
-		fputc('"', stderr);
+		fputs(",\"request_id\":\"", f);
+		log_json_escape(f, request_id);
+		fputc('"', f);
 	}
-	fputs(",\"msg\":\"", stderr);
-	log_json_escape(stderr, str_from(msg));
-	fputs("\"}\n", stderr);
+	fputs(",\"msg\":\"", f);
+	log_json_escape(f, str_from(msg));
+	fputs("\"}\n", f);
+	fclose(f);
+	/* One write for each line, so that lines of several processes do not mix. */
+	fputs(line, stderr);
 }
--- a/src/connection/timer.c
+++ b/src/connection/timer.c
@@ -48,7 +48,11 @@
 	if (!q->head)
 		return;
 	delay = q->head->due - clk_now();
-	q->timeout.timeout = delay > 0 ? (uint64_t)delay : 0;
+	/*
+	 * Never 0: h2o computes the limit of a round once, so an entry that is linked again in its
+	 * callback with no delay would be called until the next timer is due, before any socket.
+	 */
+	q->timeout.timeout = delay > 0 ? (uint64_t)delay : 1;
 	h2o_timeout_link(q->loop, &q->timeout, &q->entry);
 }
 
