entry: the request id decides the region of a request that may run once

Ruled out: a record in both regions (one more round trip of 16 ms, no orders while the link is cut).

--- a/src/request/entry.c
+++ b/src/request/entry.c
@@ -6,6 +6,7 @@
 
 #include "base/ctr.h"
 #include "base/log.h"
+#include "base/mutant.h"
 #include "request/entry_priv.h"
 
 static const struct log log = {"entry"};
@@ -283,33 +284,61 @@
 /* ---- which region serves it -------------------------------------------------------------------
  */
 
-static bool contains(char *const *list, size_t n, const char *id)
+#define MAX_REGIONS 16
+
+/* Regions of the service that may serve the request, in the order of the configuration. */
+static size_t allowed_regions(const struct entry *e, const Bc__Service *conf, const char **out)
+{
+	size_t n = 0;
+	bool homed;
+
+	for (size_t i = 0; i < conf->n_regions && n < MAX_REGIONS; i++) {
+		if (config_home_allows(e->node->config, e->route, e->account,
+				       str_from(conf->regions[i]), &homed))
+			out[n++] = conf->regions[i];
+	}
+	return n;
+}
+
+static const char *find_region(const char *const *list, size_t n, struct str id)
 {
 	for (size_t i = 0; i < n; i++) {
-		if (strcmp(list[i], id) == 0)
-			return true;
+		if (str_eq_cstr(id, list[i]))
+			return list[i];
 	}
-	return false;
+	return NULL;
+}
+
+/*
+ * Region of a request that may run only once: its request id decides, so that a repeat through a
+ * router of another region meets the same record. An id that begins with "REGION." names it.
+ */
+static const char *region_of_id(const struct entry *e, const char *const *list, size_t n)
+{
+	struct str rest;
+	const char *named = find_region(list, n, str_split(e->request_id, '.', &rest));
+
+	return named ? named : list[e->request_id_hash % n];
 }
 
 /* Region that serves the request; NULL if the service stands in none that may. */
 static const char *serving_region(const struct entry *e, const Bc__Service *conf)
 {
-	const Bc__Config *c = e->node->config;
-	const char *own = e->node->settings->region;
-	bool homed;
-
-	if (!e->homed && conf->keyed)
-		return config_partition_region(c, conf, e->partition);
+	const char *list[MAX_REGIONS];
+	const char *own;
+	size_t n = allowed_regions(e, conf, list);
+
+	if (n == 0)
+		return NULL;
+	if (conf->keyed && !e->homed)
+		return config_partition_region(e->node->config, conf, e->partition);
 	/* Restricted keys have one region each, so that they have one owner. */
-	if (!conf->keyed && contains(conf->regions, conf->n_regions, own))
-		return own;
-	for (size_t i = 0; i < conf->n_regions; i++) {
-		if (!e->homed ||
-		    config_home_allows(c, e->route, e->account, str_from(conf->regions[i]), &homed))
-			return conf->regions[i];
-	}
-	return NULL;
+	if (conf->keyed)
+		return list[0];
+	if (!e->idempotent && !MUTANT(entry_runs_anywhere))
+		return region_of_id(e, list, n);
+	own = find_region(list, n, str_from(e->node->settings->region));
+	return own ? own : list[0];
 }
 
 static void on_relayed(void *data, enum relay_result result, const struct entry_answer *answer)
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -154,3 +154,79 @@
 ok = ok and all(v.get("assign_version", 1) > 0 for v in s["services"])
 sys.exit(0 if ok else 1)'
 }
+
+# Configuration: 6 upstreams divided by key, 4 for orders, half of each in a region.
+# CLUSTER_CHECKS=false makes the upstreams of history check nothing.
+cluster_write_config() {
+	local region domain i
+	echo "regions:"
+	for region in meseta pacifico; do
+		echo "  - {id: $region, entries: [\"$(cluster_callers $region 1)\"]}"
+	done
+	echo "failure_domains:"
+	for domain in meseta-a meseta-b pacifico-a pacifico-b; do
+		echo "  - {id: $domain, region: ${domain%-*}}"
+	done
+	echo "services:"
+	echo "  - {id: history, keyed: true, partitions: 256, regions: [meseta, pacifico], timeout_ms: 2000, cold_step: 20}"
+	echo "  - {id: orders, keyed: false, partitions: 1, regions: [meseta, pacifico], timeout_ms: 2000, cold_step: 20}"
+	echo "routes:"
+	echo "  - {prefix: /history, service: history, idempotent: true}"
+	echo "  - {prefix: /orders, service: orders, idempotent: false}"
+	echo "  - {prefix: /orders/status, service: orders, idempotent: true}"
+	echo "accounts:"
+	echo "  - {account: clinica-pacifico, home_regions: [pacifico]}"
+	echo "upstreams:"
+	for region in meseta pacifico; do
+		for i in 1 2 3; do
+			domain=$region-$([ "$i" = 2 ] && echo b || echo a)
+			echo "  - {id: history-$region-$i, service: history, failure_domain: $domain, address: \"$(cluster_upstream_ip $region 1 $i):9000\", slots: 2, cold_limit: 1, checks_grants: ${CLUSTER_CHECKS:-true}}"
+		done
+		for i in 1 2; do
+			domain=$region-$([ "$i" = 2 ] && echo b || echo a)
+			echo "  - {id: orders-$region-$i, service: orders, failure_domain: $domain, address: \"$(cluster_upstream_ip $region 2 $i):9000\", slots: 2, cold_limit: 1, checks_grants: true}"
+		done
+	done
+}
+
+# Platform, upstreams and N routers in each region; the configuration is not applied yet.
+# Usage: cluster_start_all ROUTERS-PER-REGION [UPSTREAM-OPTION...]
+cluster_start_all() {
+	local region i per_region=$1 checks=--checks-grants
+	shift
+	[ "${CLUSTER_CHECKS:-true}" = true ] || checks=
+	cluster_write_config >"$CLUSTER_DIR/config.yaml"
+	echo "$CLUSTER_CREDENTIAL" >"$CLUSTER_DIR/credential"
+	cluster_start_platform
+	for region in meseta pacifico; do
+		for i in 1 2 3; do
+			cluster_start_upstream "history-$region-$i" $region history 1 $i $checks "$@"
+		done
+		for i in 1 2; do
+			cluster_start_upstream "orders-$region-$i" $region orders 2 $i --checks-grants "$@"
+		done
+	done
+	for region in meseta pacifico; do
+		for i in $(seq "$per_region"); do
+			cluster_write_settings $region "$i" "$per_region"
+			cluster_start_router $region "$i"
+		done
+	done
+	cluster_wait_for 30 cluster_port_open "$(cluster_operators meseta 1)"
+}
+
+# Waits until every router is a member, holds the configuration and knows all brokers.
+cluster_wait_ready() {
+	local region i
+	for region in meseta pacifico; do
+		for i in $(seq "$1"); do
+			cluster_wait_for 60 cluster_ready $region "$i" || return 1
+		done
+	done
+}
+
+# Applies CLUSTER_DIR/config.yaml through the first router of meseta.
+cluster_apply() {
+	cluster_ctl meseta 1 plan apply --file "$CLUSTER_DIR/config.yaml" --out "$CLUSTER_DIR/plan.json" >"$CLUSTER_DIR/plan.txt" &&
+		cluster_ctl meseta 1 confirm "$CLUSTER_DIR/plan.json"
+}
