--- a/src/base/opt.c
+++ b/src/base/opt.c
@@ -133,6 +133,10 @@
 	arg_print_errors(f, t->end, p->name);
 	fclose(f);
 	first = str_split((struct str){text, len}, '\n', &rest);
+	/* The program puts its own name before every error. */
+	if (str_starts_with(first, str_from(p->name)) && first.len > strlen(p->name) + 2)
+		first = (struct str){first.ptr + strlen(p->name) + 2,
+				     first.len - strlen(p->name) - 2};
 	err_set(err, ERR_INPUT, "%.*s; see %s --help", STR_ARG(first), p->name);
 	free(text);
 	return false;
--- a/src/bin/ctl.c
+++ b/src/bin/ctl.c
@@ -399,6 +399,7 @@
 static bool look(struct ctl *ctl, uint64_t version, struct ctlprint_progress *p)
 {
 	json_t *seen = json_object();
+	json_t *asked = json_object();
 	bool any = false;
 
 	*p = (struct ctlprint_progress){0};
@@ -411,13 +412,14 @@
 				&ignored))
 			root = parse_answer(ctl, &a);
 		if (root) {
-			ctlprint_add(p, root, version, seen);
+			ctlprint_add(p, root, version, seen, asked);
 			any = true;
 		}
 		json_decref(root);
 		httpcall_free(&a);
 	}
 	json_decref(seen);
+	json_decref(asked);
 	return any;
 }
 
@@ -626,6 +628,7 @@
 	opt_list_free(&ctl.o.routers);
 	if (ok)
 		return 0;
+	fflush(stdout);
 	fprintf(stderr, "bamboocroft-ctl: %s\n", ctl.err.msg);
 	return err_exit_code(ctl.err.kind);
 }
--- a/src/tool/ctlprint.c
+++ b/src/tool/ctlprint.c
@@ -110,7 +110,8 @@
 	print_services(out, status);
 }
 
-void ctlprint_add(struct ctlprint_progress *p, const json_t *status, uint64_t version, json_t *seen)
+void ctlprint_add(struct ctlprint_progress *p, const json_t *status, uint64_t version, json_t *seen,
+		  json_t *asked)
 {
 	const json_t *routers = json_object_get(status, "routers");
 	const json_t *services = json_object_get(status, "services");
@@ -124,6 +125,10 @@
 		p->routers++;
 		p->in_force += (uint64_t)number(r, "config_version") >= version;
 	}
+	/* The same router may have been named by two addresses. */
+	if (json_object_get(asked, text(status, "id")))
+		return;
+	json_object_set_new(asked, text(status, "id"), json_true());
 	for (size_t i = 0; i < json_array_size(services); i++) {
 		const json_t *s = json_array_get(services, i);
 
--- a/src/tool/ctlprint.h
+++ b/src/tool/ctlprint.h
@@ -17,8 +17,9 @@
 	size_t moves; /* under way, as far as the asked routers are brokers */
 };
 
-/* Adds the status of one router; `seen` is a JSON object that keeps routers from counting twice. */
-void ctlprint_add(struct ctlprint_progress *p, const json_t *status, uint64_t version,
-		  json_t *seen);
+/* Adds the status of one router; `seen` and `asked` are JSON objects, empty at first, that keep
+ * members and asked routers from counting twice. */
+void ctlprint_add(struct ctlprint_progress *p, const json_t *status, uint64_t version, json_t *seen,
+		  json_t *asked);
 
 #endif
--- a/src/tool/httpcall.c
+++ b/src/tool/httpcall.c
@@ -281,7 +281,7 @@
 		if (!have_head && raw.len)
 			have_head = parse_head(raw, &head);
 		if (have_head < 0)
-			return unknown(c, "the answer is not HTTP");
+			return unknown(c, "the answer is not HTTP, or too long");
 		if (have_head && answer_is_whole(&head, raw.len, more == 0)) {
 			if (!set_body(a, &head, raw.len))
 				return unknown(c, "the answer ended early");
--- a/src/version/plan.c
+++ b/src/version/plan.c
@@ -472,7 +472,7 @@
 
 	if (!check_operator(m) || !parse_intent(m) || !check_version(m, version))
 		return false;
-	if (!m->in->config && m->intent.verb != PLAN_APPLY)
+	if (version == 0 && m->intent.verb != PLAN_APPLY)
 		return err_set(m->err, ERR_UNAVAILABLE,
 			       "no configuration yet; plan `apply --file FILE` first");
 	m->result = start_from(m->in->config);
--- a/src/version/plan.h
+++ b/src/version/plan.h
@@ -49,8 +49,9 @@
  * False with ERR_INPUT when the intent cannot be read, ERR_NOT_FOUND when it names something that
  * is not configured, ERR_CONFLICT when the version is older than the one in force (the message then
  * names who changed what since and how to plan again), ERR_UNAVAILABLE when this router holds an
- * older configuration than the plan or none. `config` in the inputs is NULL before the first
- * configuration; only `apply` can be planned then. Version 0 in the request means the one in force.
+ * older configuration than the plan or none. `config` in the inputs is NULL or has version 0
+ * before the first configuration; only `apply` can be planned then. Version 0 in the request means
+ * the one in force.
  *
  * To confirm: answer "already done" if plan_find() knows the identity; otherwise call plan_make()
  * with the version of the plan, compare the identity, and write `result` by compare-and-set on
--- a/test/unit_plan.c
+++ b/test/unit_plan.c
@@ -190,6 +190,7 @@
 
 START_TEST(first_configuration_comes_from_apply)
 {
+	Bc__Config empty = BC__CONFIG__INIT;
 	Bc__Config *old = config;
 
 	config = NULL;
@@ -199,6 +200,12 @@
 	ck_assert(!plan.refused);
 	ck_assert_uint_eq(plan.result->version, 1);
 	ck_assert_uint_eq(plan.version, 0);
+	/* An empty configuration of version 0 means the same. */
+	config = &empty;
+	ck_assert(!make("take-out meseta-a", NULL, 0, NULL));
+	ck_assert_int_eq(err.kind, ERR_UNAVAILABLE);
+	ck_assert_msg(make("apply", example, 0, NULL), "%s", err.msg);
+	ck_assert_uint_eq(plan.result->version, 1);
 	config = old;
 }
 END_TEST
