--- a/src/version/config.c
+++ b/src/version/config.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/rnd.h"
+#include "version/config_index.h"
 
 #define CONFIG_MAX_ID 64
 #define CONFIG_MAX_PARTITIONS 65536
@@ -255,6 +256,7 @@
 	struct err *err;
 	enum config_section section;
 	size_t index;
+	const struct config_index *upstreams;
 };
 
 /* Puts the place before the message: "upstreams[3] 'h-04', field slots: FAULT; REMEDY". */
@@ -481,6 +483,7 @@
 
 static bool check_upstream_address(struct check *ck, const Bc__Upstream *u)
 {
+	const Bc__Upstream *other;
 	struct in_addr addr;
 
 	if (inet_pton(AF_INET, u->ip, &addr) != 1 || u->port == 0 || u->port > 65535)
@@ -488,15 +491,12 @@
 			     "'%.64s:%u' is not an address; write ip:port, for example "
 			     "127.0.1.1:9000",
 			     u->ip, u->port);
-	for (size_t i = 0; i < ck->index; i++) {
-		const Bc__Upstream *other = ck->c->upstreams[i];
-
-		if (other->port == u->port && strcmp(other->ip, u->ip) == 0)
-			return FAULT(ck, u->id, "address",
-				     "'%.64s:%u' also belongs to '%.64s'; each upstream needs its "
-				     "own address",
-				     u->ip, u->port, other->id);
-	}
+	other = config_index_address(ck->upstreams, u->ip, u->port);
+	if (other != u)
+		return FAULT(ck, u->id, "address",
+			     "'%.64s:%u' also belongs to '%.64s'; each upstream needs its own "
+			     "address",
+			     u->ip, u->port, other->id);
 	return true;
 }
 
@@ -524,10 +524,10 @@
 
 	if (!check_id(ck, u->id, "id"))
 		return false;
-	if (config_upstream_by_id(ck->c, str_from(u->id)) != u)
+	if (config_index_id(ck->upstreams, u->id) != u)
 		return FAULT(ck, u->id, "id", "is used twice; choose another name");
 	if (u->num == 0 || u->num >= ck->c->next_upstream_num ||
-	    config_upstream(ck->c, u->num) != u)
+	    config_index_num(ck->upstreams, u->num) != u)
 		return FAULT(ck, u->id, "num",
 			     "%u is not unique below %u; restore the configuration from the store",
 			     u->num, ck->c->next_upstream_num);
@@ -537,8 +537,9 @@
 	       check_range(ck, u->id, "cold_limit", u->cold_limit, 1, u->slots);
 }
 
-bool config_check_where(const Bc__Config *c, struct config_fault *where, struct err *err)
+static bool check_all(struct check *ck)
 {
+	const Bc__Config *c = ck->c;
 	/* Each pass relies on what the ones before it have checked. */
 	const struct {
 		enum config_section section;
@@ -553,18 +554,27 @@
 		{CONFIG_ROUTES, c->n_routes, check_route},
 		{CONFIG_ACCOUNTS, c->n_account_homes, check_account},
 	};
-	struct check ck = {.c = c, .where = where, .err = err};
 
 	for (size_t i = 0; i < sizeof(passes) / sizeof(passes[0]); i++) {
-		ck.section = passes[i].section;
-		for (ck.index = 0; ck.index < passes[i].n; ck.index++) {
-			if (!passes[i].one(&ck))
+		ck->section = passes[i].section;
+		for (ck->index = 0; ck->index < passes[i].n; ck->index++) {
+			if (!passes[i].one(ck))
 				return false;
 		}
 	}
 	return true;
 }
 
+bool config_check_where(const Bc__Config *c, struct config_fault *where, struct err *err)
+{
+	struct config_index *upstreams = config_index_create(c);
+	struct check ck = {.c = c, .where = where, .err = err, .upstreams = upstreams};
+	bool ok = check_all(&ck);
+
+	config_index_free(upstreams);
+	return ok;
+}
+
 bool config_check(const Bc__Config *c, struct err *err)
 {
 	struct config_fault where;
--- a/src/version/config_yaml.c
+++ b/src/version/config_yaml.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <yaml.h>
 
+#include "version/config_index.h"
+
 /* Far above any real file; keeps the parser's memory bounded. */
 #define YAML_MAX_BYTES (4 * 1024 * 1024)
 #define DEFAULT_PARTITIONS 256
@@ -509,16 +511,18 @@
 static void keep_upstreams(const struct reader *r, const yaml_node_t *root, Bc__Config *c,
 			   const Bc__Config *base)
 {
+	struct config_index *known = base ? config_index_create(base) : NULL;
+
 	c->next_upstream_num = base && base->next_upstream_num ? base->next_upstream_num : 1;
 	for (size_t i = 0; i < c->n_upstreams; i++) {
 		Bc__Upstream *u = c->upstreams[i];
-		const Bc__Upstream *old =
-			base ? config_upstream_by_id(base, str_from(u->id)) : NULL;
+		const Bc__Upstream *old = known ? config_index_id(known, u->id) : NULL;
 
 		u->num = old ? old->num : c->next_upstream_num++;
 		if (old && !has_field(r, root, CONFIG_UPSTREAMS, i, "intent"))
 			u->intent = old->intent;
 	}
+	config_index_free(known);
 }
 
 /* Ledger and lifted fingerprints, through a copy so that every part is owned by `c`. */
--- a/src/version/plan.c
+++ b/src/version/plan.c
@@ -433,12 +433,17 @@
 static void check_and_describe(struct maker *m, struct plan *out)
 {
 	static const Bc__Config none = BC__CONFIG__INIT;
+	const Bc__Config *before = m->in->config ? m->in->config : &none;
+	struct config_index *before_index = config_index_create(before);
+	struct config_index *after_index = config_index_create(m->result);
 	struct plan_change ch = {
 		.arena = m->arena,
 		.in = m->in,
 		.intent = &m->intent,
-		.before = m->in->config ? m->in->config : &none,
+		.before = before,
 		.after = m->result,
+		.before_index = before_index,
+		.after_index = after_index,
 	};
 
 	ch.cap_before = plan_capacities(m->arena, ch.before, &ch.n_cap_before);
@@ -446,6 +451,8 @@
 	out->refusal = m->refusal.len ? m->refusal : plan_refusal(&ch);
 	out->refused = out->refusal.len > 0;
 	plan_describe(&ch, out);
+	config_index_free(before_index);
+	config_index_free(after_index);
 }
 
 /* The name appears in the ledger and in messages to other operators. */
--- a/src/version/plan_check.c
+++ b/src/version/plan_check.c
@@ -287,7 +287,7 @@
 	}
 	for (size_t i = 0; i < ch->before->n_upstreams; i++) {
 		const Bc__Upstream *old = ch->before->upstreams[i];
-		const Bc__Upstream *now = config_upstream(ch->after, old->num);
+		const Bc__Upstream *now = config_index_num(ch->after_index, old->num);
 		struct str why =
 			now ? check_kept_upstream(ch, old, now) : check_removed_upstream(ch, old);
 
--- a/src/version/plan_priv.h
+++ b/src/version/plan_priv.h
@@ -2,6 +2,7 @@
 #ifndef VERSION_PLAN_PRIV_H
 #define VERSION_PLAN_PRIV_H
 
+#include "version/config_index.h"
 #include "version/plan.h"
 
 #define PLAN_MAX_WORDS 256
@@ -39,6 +40,8 @@
 	const struct plan_intent *intent;
 	const Bc__Config *before;
 	const Bc__Config *after;
+	const struct config_index *before_index;
+	const struct config_index *after_index;
 	struct plan_capacity *cap_before;
 	size_t n_cap_before;
 	struct plan_capacity *cap_after;
--- a/src/version/plan_text.c
+++ b/src/version/plan_text.c
@@ -128,7 +128,7 @@
 	*count = 0;
 	for (size_t i = 0; i < ch->after->n_upstreams; i++) {
 		const Bc__Upstream *now = ch->after->upstreams[i];
-		const Bc__Upstream *old = config_upstream(ch->before, now->num);
+		const Bc__Upstream *old = config_index_num(ch->before_index, now->num);
 		bool was = old && config_upstream_usable(ch->before, old);
 
 		if (config_upstream_usable(ch->after, now) != now_usable || was == now_usable)
