--- a/src/version/plan_text.c
+++ b/src/version/plan_text.c
@@ -65,10 +65,15 @@
 	size_t n;
 
 	opts.max_voluntary = max;
-	for (uint32_t p = 0; p < s->partitions; p++) {
+	for (uint32_t p = 0; p < s->partitions; p++)
 		mine[p] = strcmp(config_partition_region(ch->after, s, p), a->region) == 0;
-		m.served += mine[p];
+	/* A cell also keeps owners for keys that only their homes bring here. */
+	for (size_t i = 0; i < a->n_owners; i++) {
+		if (a->owners[i]->partition < s->partitions && a->owners[i]->upstream)
+			mine[a->owners[i]->partition] = true;
 	}
+	for (uint32_t p = 0; p < s->partitions; p++)
+		m.served += mine[p];
 	n = assign_plan(a, mine, s->partitions, ups, cell_upstreams(ch, a, ups), &loads, &opts,
 			moves, max);
 	for (size_t i = 0; i < n; i++) {
--- a/test/unit_plan.c
+++ b/test/unit_plan.c
@@ -60,7 +60,10 @@
 	plan.result = NULL;
 }
 
-/* All partitions of `history` in meseta, as the planner first assigns them. */
+static bool all_partitions;
+
+/* The partitions of `history` that meseta serves (or all of them), as the planner first assigns
+ * them. */
 static Bc__Assign *assign_meseta(void)
 {
 	const Bc__Service *s = config_service(config, STR_LIT("history"));
@@ -78,7 +81,8 @@
 			ups[n++] = (struct assign_upstream){u->num, u->slots, true};
 	}
 	for (uint32_t p = 0; p < s->partitions; p++)
-		mine[p] = strcmp(config_partition_region(config, s, p), "meseta") == 0;
+		mine[p] = all_partitions ||
+			  strcmp(config_partition_region(config, s, p), "meseta") == 0;
 	n = assign_plan(NULL, mine, s->partitions, ups, n, &loads, &assign_defaults, moves, 256);
 	return assign_apply(NULL, "meseta", "history", moves, n);
 }
@@ -112,6 +116,25 @@
 }
 END_TEST
 
+/*
+ * Guards against moves that the plan counts and no broker makes: a cell may hold owners of every
+ * partition, for keys that are there because of their home regions.
+ */
+START_TEST(plan_that_moves_no_key_says_so)
+{
+	Bc__Assign *a;
+
+	all_partitions = true;
+	a = assign_meseta();
+	all_partitions = false;
+	ck_assert_uint_eq(a->n_owners, 256);
+	ck_assert(make("drain orders-01", NULL, 0, a));
+	ck_assert(!plan.refused);
+	ck_assert_ptr_nonnull(strstr(plan.text.ptr, "none move"));
+	assign_free(a);
+}
+END_TEST
+
 START_TEST(second_failure_domain_of_a_region_is_refused)
 {
 	confirm("take-out meseta-a");
@@ -255,6 +278,7 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, take_out_names_steps_keys_load_and_undo);
+	tcase_add_test(tc, plan_that_moves_no_key_says_so);
 	tcase_add_test(tc, second_failure_domain_of_a_region_is_refused);
 	tcase_add_test(tc, conflict_names_who_changed_what);
 	tcase_add_test(tc, ledger_and_lifted_keep_the_last_hundred);
