--- a/src/tool/httpc.c
+++ b/src/tool/httpc.c
@@ -257,6 +257,18 @@
 	return c;
 }
 
+void httpc_destroy(struct httpc *c)
+{
+	if (!c)
+		return;
+	h2o_socketpool_dispose(&c->pool);
+	h2o_timeout_dispose(c->loop, &c->io_timeout);
+	h2o_timeout_dispose(c->loop, &c->call_timeout);
+	h2o_timeout_dispose(c->loop, &c->zero_timeout);
+	free(c->address);
+	free(c);
+}
+
 const char *httpc_address(const struct httpc *c)
 {
 	return c->address;
--- a/src/tool/httpc.h
+++ b/src/tool/httpc.h
@@ -55,6 +55,8 @@
 
 /* `address` is "ip:port"; `timeout` covers a whole call. */
 struct httpc *httpc_create(h2o_loop_t *loop, const char *address, clk_ms timeout, struct err *err);
+/* Only while no call is open. */
+void httpc_destroy(struct httpc *c);
 const char *httpc_address(const struct httpc *c);
 
 /* The request is copied. The callback always comes later, never from this call. */
