svc: a new broker starts from the limits its majority knows; refused connections prove an end

Cause: after the loss of a broker all upstreams started cold, and cold upstreams got nothing for 10 s while slots of the dead router were unknown; an equal request refused after its turn began stayed suspect for good.

--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -65,6 +65,7 @@
 	clk_ms next_dial;
 	clk_ms backoff;
 	bool is_self; /* the address led back to this process */
+	bool refused; /* the newest attempt was refused: no process listens there */
 	struct target *next;
 };
 
@@ -611,11 +612,22 @@
 	send_hello(c);
 }
 
+static void note_attempt(struct conn *c, int error)
+{
+	if (c->target)
+		c->target->refused = error == ECONNREFUSED;
+}
+
 static void on_connect(h2o_socket_t *sock, const char *err)
 {
 	struct conn *c = sock->data;
+	int error = 0;
+	socklen_t len = sizeof(error);
 
-	if (err)
+	if (getsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		error = errno;
+	note_attempt(c, error);
+	if (err || error)
 		conn_close(c);
 	else
 		conn_start(c);
@@ -644,20 +656,37 @@
 	}
 }
 
+/* h2o_socket_connect() hides why an attempt failed, and a refused one is known to be answered. */
+static int start_connect(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) == 0 ||
+	    errno == EINPROGRESS)
+		return fd;
+	close(fd);
+	return -1;
+}
+
 static void dial(struct peer_set *set, struct target *t)
 {
-	h2o_socket_t *sock = h2o_socket_connect(set->loop, (struct sockaddr *)&t->address,
-						sizeof(t->address), on_connect);
+	int fd = start_connect(&t->address);
+	h2o_socket_t *sock;
 	struct conn *c;
 
-	if (!sock) {
+	if (fd < 0) {
+		t->refused = errno == ECONNREFUSED;
 		back_off(set, t);
 		return;
 	}
+	sock = h2o_evloop_socket_create(set->loop, fd, 0);
 	c = conn_new(set, sock, true);
 	c->target = t;
 	c->address = t->address;
 	t->dialling = c;
+	h2o_socket_notify_write(sock, on_connect);
 }
 
 /* ---- time ----------------------------------------------------------------------------------- */
@@ -866,6 +895,19 @@
 	return c && conn_send(c, frame);
 }
 
+bool peer_address_refused(const struct peer_set *set, const char *ip, uint32_t port)
+{
+	struct sockaddr_in address;
+
+	if (!address_set(&address, ip, port))
+		return false;
+	for (const struct target *t = set->targets; t; t = t->next) {
+		if (address_compare(&t->address, &address) == 0)
+			return t->refused;
+	}
+	return false;
+}
+
 const struct peer_info *peer_find(const struct peer_set *set, uint64_t node)
 {
 	const struct conn *c = find_node(set, node);
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -60,6 +60,12 @@
 /* Fills in sender and clock and queues the frame. False if there is no connection to the node. */
 bool peer_send(struct peer_set *set, uint64_t node, Bc__Frame *frame);
 
+/*
+ * The newest attempt to connect to this address was refused: the instance answers and no process
+ * listens there any more. A paused or unreachable process does not refuse.
+ */
+bool peer_address_refused(const struct peer_set *set, const char *ip, uint32_t port);
+
 const struct peer_info *peer_find(const struct peer_set *set, uint64_t node);
 /* Connected peers; returns their number, fills at most `max`. */
 size_t peer_list(const struct peer_set *set, const struct peer_info **out, size_t max);
--- a/src/process/lead.c
+++ b/src/process/lead.c
@@ -144,6 +144,8 @@
 	/* One process can listen on an address: another incarnation there replaced this one. */
 	if (strcmp(s->peers.ip, m->ip) == 0 && s->peers.port == m->peer_port)
 		return strcmp(l->node->incarnation, m->incarnation) != 0;
+	if (peer_address_refused(l->node->peers, m->ip, m->peer_port))
+		return true;
 	n = peer_list(l->node->peers, list, MAX_CANDIDATES);
 	for (size_t i = 0; i < n; i++) {
 		if (strcmp(list[i]->ip, m->ip) == 0 && list[i]->peer_port == m->peer_port &&
--- a/src/process/probe.c
+++ b/src/process/probe.c
@@ -43,6 +43,8 @@
 			broker_note_cold(u->svc->broker, now, u->num);
 	}
 	svc_push_upstream(u, now);
+	if (ev->turned_cold || ev->became_lost)
+		svc_announce_limits(u->svc);
 }
 
 static uint64_t start_id_of(const struct upconn_answer *a)
--- a/src/process/quarantine.c
+++ b/src/process/quarantine.c
@@ -8,9 +8,9 @@
 struct suspect {
 	uint64_t fingerprint;
 	uint32_t crashes;
-	uint32_t in_flight;
-	uint64_t lifted_at; /* newest configuration version that lifted it */
-	clk_ms last;	    /* of the newest crash */
+	clk_ms in_flight_until; /* 0: none */
+	uint64_t lifted_at;	/* newest configuration version that lifted it */
+	clk_ms last;		/* of the newest crash */
 	UT_hash_handle hh;
 };
 
@@ -104,16 +104,16 @@
 	return crashes_now(q, now, suspect_find(q, fingerprint)) >= QUARANTINE_CRASHES;
 }
 
-bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint)
+bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint, clk_ms until)
 {
 	struct suspect *s = suspect_find(q, fingerprint);
 	uint32_t crashes = crashes_now(q, now, s);
 
 	if (crashes == 0)
 		return true;
-	if (crashes >= QUARANTINE_CRASHES || s->in_flight > 0)
+	if (crashes >= QUARANTINE_CRASHES || now < s->in_flight_until)
 		return false;
-	s->in_flight++;
+	s->in_flight_until = until;
 	return true;
 }
 
@@ -121,9 +121,8 @@
 {
 	struct suspect *s = suspect_find(q, fingerprint);
 
-	/* Requests sent before the first crash were not counted and return as well. */
-	if (s && s->in_flight > 0)
-		s->in_flight--;
+	if (s)
+		s->in_flight_until = 0;
 }
 
 void quarantine_clear(struct quarantine *q, uint64_t fingerprint)
@@ -171,7 +170,7 @@
 		}
 		s->crashes = 0;
 		/* A lift is remembered, or the next configuration would lift a later crash. */
-		if (s->lifted_at == 0 && s->in_flight == 0) {
+		if (s->lifted_at == 0 && now >= s->in_flight_until) {
 			HASH_DEL(q->suspects, s);
 			free(s);
 		}
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -24,9 +24,10 @@
 
 /*
  * While a request with this fingerprint and one crash is in flight, a second attempt must wait
- * its turn: true if one more may be sent now.
+ * its turn: true if one more may be sent now. The turn ends with quarantine_returned() or at
+ * `until`, whichever comes first, since a refused ask never returns a slot.
  */
-bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint);
+bool quarantine_may_send(struct quarantine *q, clk_ms now, uint64_t fingerprint, clk_ms until);
 void quarantine_returned(struct quarantine *q, clk_ms now, uint64_t fingerprint);
 
 /*
--- a/src/process/svc.c
+++ b/src/process/svc.c
@@ -71,6 +71,7 @@
 
 	u->svc = s;
 	u->num = conf->num;
+	u->reported_limit = UINT32_MAX;
 	u->pool = upconn_pool_create(s->node->loop, conf->ip, conf->port, UPSTREAM_MAX_IDLE);
 	u->probes = upconn_pool_create(s->node->loop, conf->ip, conf->port, 1);
 	health_init(&u->health, clk_now());
@@ -147,6 +148,7 @@
 {
 	enum broker_upstream_state state = BROKER_COLD;
 	uint32_t slots = u->conf ? u->conf->slots : u->pushed_slots;
+	bool first = !u->pushed_any;
 	struct broker_upstream b;
 
 	if (!u->svc->broker)
@@ -169,6 +171,8 @@
 		.cold_limit = u->conf && u->conf->cold_limit ? u->conf->cold_limit : 1,
 		.state = state,
 	};
+	if (first && state == BROKER_COLD && svc_limit_is_warm(u))
+		b.state = BROKER_WARM;
 	broker_set_upstream(u->svc->broker, now, &b);
 }
 
@@ -294,7 +298,7 @@
 		refuse(s, now, from, ask->id, BROKER_REFUSE_QUARANTINED, 0);
 		return;
 	}
-	if (!quarantine_may_send(s->quarantine, now, ask->fingerprint)) {
+	if (!quarantine_may_send(s->quarantine, now, ask->fingerprint, in.deadline)) {
 		refuse(s, now, from, ask->id, BROKER_REFUSE_SUSPECT, 1000);
 		return;
 	}
--- a/src/process/svc.h
+++ b/src/process/svc.h
@@ -28,6 +28,10 @@
 	struct upconn_pool *probes;
 	struct health health;
 	bool known_gone; /* the old process is known to have ended */
+	/* Limit that the broker announced last, for the next broker; 0: none known. */
+	uint32_t told_limit;
+	uint64_t told_start_id;
+	uint32_t reported_limit; /* lowest in the takeover reports */
 	enum broker_upstream_state pushed;
 	bool pushed_any;
 	uint32_t pushed_slots;
@@ -130,6 +134,14 @@
 void svc_refuse_repeat(struct svc *s, clk_ms now, uint64_t node, uint64_t ask,
 		       enum once_state recorded);
 
+/* svc_limit.c: limits of upstreams that a new broker starts from. */
+void svc_announce_limits(struct svc *s);
+void svc_limit_on_record(struct svc *s, const Bc__Record *record);
+void svc_limit_on_report(struct svc *s, const Bc__Record *record);
+/* Prepares an upstream for a new broker: warm only if every report says so. */
+bool svc_limit_is_warm(const struct svc_upstream *u);
+void svc_limit_forget_reports(struct svc *s);
+
 /* svc_record.c: request id records and crash counts. */
 void svc_record_ask(struct svc *s, clk_ms now, uint64_t from, const struct broker_ask *ask);
 void svc_record_refused(struct svc *s, clk_ms now, uint64_t node, uint64_t ask);
--- a/src/process/svc_lease.c
+++ b/src/process/svc_lease.c
@@ -82,12 +82,13 @@
 	report_record(data, BC__RECORD__KIND__CRASH, fingerprint, crashes, age);
 }
 
-#define REPORT_MAX_CRASHES 4096
+/* Crash counts and upstreams' limits that a report has room for. */
+#define REPORT_MAX_OTHERS 8192
 
 static void send_report(struct svc *s, clk_ms now, uint64_t to, Bc__Frame *frame)
 {
 	Bc__LeaseReply *msg = frame->lease_reply;
-	size_t size = once_count(s->once) + REPORT_MAX_CRASHES;
+	size_t size = once_count(s->once) + REPORT_MAX_OTHERS;
 	struct report r = {msg, calloc(size, sizeof(Bc__Record)), size};
 	size_t n_slots = 0;
 	Bc__SlotInUse *slots;
@@ -109,6 +110,12 @@
 	}
 	once_each(s->once, now, report_once, &r);
 	quarantine_each(s->quarantine, now, report_crash, &r);
+	for (const struct svc_upstream *u = s->upstreams; u; u = u->next) {
+		if (u->told_limit == 0 && u->told_start_id == 0)
+			continue;
+		report_record(&r, BC__RECORD__KIND__LIMIT, u->num, u->told_limit, 0);
+		r.records[msg->n_records - 1].start_id = u->told_start_id;
+	}
 	msg->report = true;
 	peer_send(s->node->peers, to, frame);
 	free(msg->slots);
@@ -168,6 +175,8 @@
 
 		if (rec->kind == BC__RECORD__KIND__REQUEST)
 			once_put(s->once, now, rec->hash, (enum once_state)rec->state, rec->age_ms);
+		else if (rec->kind == BC__RECORD__KIND__LIMIT)
+			svc_limit_on_report(s, rec);
 		else
 			quarantine_put(s->quarantine, now, rec->hash, rec->state);
 	}
@@ -274,6 +283,9 @@
 	for (struct svc_upstream *u = s->upstreams; u; u = u->next) {
 		u->pushed_any = false;
 		health_init(&u->health, now);
+		/* A start id that differs from the one the limit belongs to means a cold start. */
+		if (svc_limit_is_warm(u))
+			u->health.start_id = u->told_start_id;
 		u->next_probe = now;
 		u->grant_until = 0;
 		u->grant_serial_sent = u->grant_serial_acked = 0;
@@ -306,6 +318,7 @@
 		broker_destroy(s->broker);
 	s->broker = NULL;
 	svc_record_drop(s);
+	svc_limit_forget_reports(s);
 	s->n_reported = 0;
 	s->n_reports = 0;
 	s->reports_overflow = false;
@@ -397,5 +410,6 @@
 	if (s->mover)
 		mover_tick(s->mover, now);
 	svc_record_tick(s, now);
+	svc_announce_limits(s);
 	svc_flush(s, now);
 }
--- a/src/process/svc_record.c
+++ b/src/process/svc_record.c
@@ -100,6 +100,10 @@
 		quarantine_put(s->quarantine, now, rec->hash, rec->state);
 		return;
 	}
+	if (rec->kind == BC__RECORD__KIND__LIMIT) {
+		svc_limit_on_record(s, rec);
+		return;
+	}
 	if (rec->state == ONCE_NEW) {
 		once_forget(s->once, rec->hash);
 		return;
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -3285,17 +3285,19 @@
   (ProtobufCMessageInit) bc__slot_in_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue bc__record__kind__enum_values_by_number[2] =
+static const ProtobufCEnumValue bc__record__kind__enum_values_by_number[3] =
 {
   { "REQUEST", "BC__RECORD__KIND__REQUEST", 0 },
   { "CRASH", "BC__RECORD__KIND__CRASH", 1 },
+  { "LIMIT", "BC__RECORD__KIND__LIMIT", 2 },
 };
 static const ProtobufCIntRange bc__record__kind__value_ranges[] = {
-{0, 0},{0, 2}
+{0, 0},{0, 3}
 };
-static const ProtobufCEnumValueIndex bc__record__kind__enum_values_by_name[2] =
+static const ProtobufCEnumValueIndex bc__record__kind__enum_values_by_name[3] =
 {
   { "CRASH", 1 },
+  { "LIMIT", 2 },
   { "REQUEST", 0 },
 };
 const ProtobufCEnumDescriptor bc__record__kind__descriptor =
@@ -3305,15 +3307,15 @@
   "Kind",
   "Bc__Record__Kind",
   "bc",
-  2,
+  3,
   bc__record__kind__enum_values_by_number,
-  2,
+  3,
   bc__record__kind__enum_values_by_name,
   1,
   bc__record__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor bc__record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bc__record__field_descriptors[6] =
 {
   {
     "service",
@@ -3375,18 +3377,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_id",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Record, start_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__record__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   2,   /* field[2] = hash */
   1,   /* field[1] = kind */
   0,   /* field[0] = service */
+  5,   /* field[5] = start_id */
   3,   /* field[3] = state */
 };
 static const ProtobufCIntRange bc__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bc__record__descriptor =
 {
@@ -3396,7 +3411,7 @@
   "Bc__Record",
   "bc",
   sizeof(Bc__Record),
-  5,
+  6,
   bc__record__field_descriptors,
   bc__record__field_indices_by_name,
   1,  bc__record__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -55,7 +55,8 @@
 
 typedef enum _Bc__Record__Kind {
   BC__RECORD__KIND__REQUEST = 0,
-  BC__RECORD__KIND__CRASH = 1
+  BC__RECORD__KIND__CRASH = 1,
+  BC__RECORD__KIND__LIMIT = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BC__RECORD__KIND)
 } Bc__Record__Kind;
 typedef enum _Bc__UpstreamIntent {
@@ -409,18 +410,22 @@
   char *service;
   Bc__Record__Kind kind;
   /*
-   * of the request id, or the fingerprint
+   * of the request id, the fingerprint, or the upstream's number
    */
   uint64_t hash;
   /*
-   * enum once_state, or the number of crashes
+   * enum once_state, the number of crashes, or the upstream's limit
    */
   uint32_t state;
   uint32_t age_ms;
+  /*
+   * LIMIT: hash of the upstream's x-start-id
+   */
+  uint64_t start_id;
 };
 #define BC__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__record__descriptor) \
-    , (char *)protobuf_c_empty_string, BC__RECORD__KIND__REQUEST, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, BC__RECORD__KIND__REQUEST, 0, 0, 0, 0 }
 
 
 struct  Bc__LeaseReply
