listener: contexts of h2o stay until the process ends

Cause: a planned stop ended with an assertion of h2o (timers of closed connections still pending). Ruled out: waiting for the timers (10 s and longer).

--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -27,6 +27,7 @@
 	size_t connections;
 	listener_handler handler;
 	void *data;
+	struct listener *next_retired;
 };
 
 static int on_request(h2o_handler_t *self, h2o_req_t *req)
@@ -148,6 +149,13 @@
 	return l->connections;
 }
 
+/*
+ * h2o cannot give a context back while timers of its connections are pending, and they are until
+ * long after the last answer. A process destroys its listeners only when it ends, so they are kept
+ * reachable instead.
+ */
+static struct listener *retired;
+
 void listener_destroy(struct listener *l)
 {
 	if (!l)
@@ -155,12 +163,10 @@
 	if (l->socket) {
 		h2o_socket_read_stop(l->socket);
 		h2o_socket_close(l->socket);
+		l->socket = NULL;
 	}
-	if (l->connections == 0) {
-		h2o_context_dispose(&l->context);
-		h2o_config_dispose(&l->config);
-		free(l);
-	}
+	l->next_retired = retired;
+	retired = l;
 }
 
 void listener_reply(h2o_req_t *req, int status, const struct listener_header *headers, size_t n,
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -26,7 +26,7 @@
 void listener_shutdown(struct listener *l);
 /* Open connections. */
 size_t listener_connections(const struct listener *l);
-/* Only after listener_connections() is 0 or at the end of the process. */
+/* Only at the end of the process: open connections are not served any more. */
 void listener_destroy(struct listener *l);
 
 struct listener_header {
