--- a/src/bin/timeline.c
+++ b/src/bin/timeline.c
@@ -98,6 +98,7 @@
 	int partitions = a->partitions->count ? a->partitions->ival[0] : DEFAULT_PARTITIONS;
 
 	*f = (struct events_filter){
+		.with_homed = a->homed->count > 0,
 		.service = text_or_null(a->service),
 		.upstream = text_or_null(a->upstream),
 		.failure_domain = text_or_null(a->failure_domain),
@@ -263,7 +264,8 @@
 
 	if (!out)
 		abort();
-	events_write_json(e, false, out);
+	events_remove_homed_ids(e);
+	events_write_json(e, out);
 	fclose(out);
 	req.body = (struct str){text, len};
 	snprintf(path, sizeof(path), "/o/timeline/%016" PRIx64 ".jsonl", str_hash(req.body));
@@ -301,7 +303,7 @@
 
 	events_merge(e, f);
 	if (a->json->count)
-		events_write_json(e, a->homed->count > 0, stdout);
+		events_write_json(e, stdout);
 	else
 		events_write_text(e, stdout);
 	if (events_skipped(e))
--- a/src/tool/events.c
+++ b/src/tool/events.c
@@ -160,6 +160,8 @@
 	struct entry *entry = e->all;
 	struct entry *kept = NULL;
 
+	if (!filter->with_homed)
+		events_remove_homed_ids(e);
 	/* Builds a new table of the events to keep. */
 	HASH_CLEAR(hh, e->all);
 	while (entry) {
@@ -283,12 +285,18 @@
 	}
 }
 
-void events_write_json(const struct events *e, bool with_homed, FILE *out)
+void events_write_json(const struct events *e, FILE *out)
 {
 	for (struct entry *i = e->all; i; i = i->hh.next) {
-		if (!with_homed && json_is_true(json_object_get(i->json, "homed")))
-			json_object_del(i->json, "request_id");
 		json_dumpf(i->json, out, JSON_COMPACT | JSON_SORT_KEYS);
 		fputc('\n', out);
 	}
 }
+
+void events_remove_homed_ids(struct events *e)
+{
+	for (struct entry *i = e->all; i; i = i->hh.next) {
+		if (json_is_true(json_object_get(i->json, "homed")))
+			json_object_del(i->json, "request_id");
+	}
+}
--- a/src/tool/events.h
+++ b/src/tool/events.h
@@ -19,6 +19,8 @@
 /* Conditions that an event must meet all; NULL and false are no condition. */
 struct events_filter {
 	uint64_t since; /* clock value */
+	/* Keep request ids of requests with home regions; else they are removed before matching. */
+	bool with_homed;
 	const char *service;
 	bool has_partition;
 	uint64_t partition;
@@ -44,10 +46,9 @@
 size_t events_skipped(const struct events *e);
 
 void events_write_text(const struct events *e, FILE *out);
-/*
- * JSON lines. `with_homed` says whether request ids of requests with home regions are included;
- * they must not leave their region, so an export goes without.
- */
-void events_write_json(const struct events *e, bool with_homed, FILE *out);
+void events_write_json(const struct events *e, FILE *out);
+
+/* Removes request ids of requests with home regions, which must not leave their region. */
+void events_remove_homed_ids(struct events *e);
 
 #endif
--- /dev/null
+++ b/test/scripts/timeline.sh
@@ -0,0 +1,84 @@
+#!/bin/bash
+# bamboocroft-timeline on logs. Guards against an order that puts effect before cause, events that
+# are shown twice, filters that let others through, and request ids that leave their region.
+# shellcheck source=test/scripts/lib.sh
+. "$(dirname "$0")/lib.sh"
+
+begin
+new_address OBJECTS OBJECTS_C NOBODY
+
+# event FILE MS COUNTER PROCESS MEMBERS: one event line.
+event() {
+	printf '{"hlc":%s,"utc_ms":%s,"process":"%s","incarnation":"i1",%s}\n' \
+		$(($2 << 16 | $3)) "$2" "$4" "$5" >>"$WORK/$1"
+}
+
+# show TITLE ARGUMENTS...
+show() {
+	echo "== $1"
+	shift
+	"$BIN/bamboocroft-timeline" "$@" 2>"$WORK/show.log"
+	echo "exit code $?"
+	sed -e 's/.*"msg":"\(.*\)"}$/\1/' -e "s#$WORK/##g" -e "s#$OBJECTS#OBJECTS#g" \
+		-e "s#$NOBODY#NOBODY#g" "$WORK/show.log"
+}
+
+base=1796361520000
+a='"module":"lease","kind":"lease-taken","cause":"majority","service":"design","number":7'
+b='"module":"broker","kind":"owner-changed","cause":"upstream lost","service":"design"'
+b+=',"partition":99,"upstream":"u2","failure_domain":"fd1","version":4,"number":3'
+c='"module":"entry","kind":"not-run","cause":"no owner","service":"design","partition":99'
+d='"module":"entry","kind":"not-run","cause":"no owner","service":"orders","partition":99'
+e='"module":"opreq","kind":"plan-confirmed","cause":"operator","plan":"p-17"'
+homed='"homed":true'
+
+event r1.log $((base + 5)) 0 r1 "$b"
+event r1.log $base 0 r1 "$a"
+event r1.log $((base + 7)) 0 r1 "$e"
+echo '{"utc_ms":1,"level":"info","process":"r1","module":"node","msg":"started"}' >>"$WORK/r1.log"
+echo 'a line of something else' >>"$WORK/r1.log"
+# The clock of r2 was behind: its counter shows that the refusal came after the change of owner.
+event r2.log $((base + 5)) 1 router-two "$c,\"request_id\":\"req-00001\",\"peer\":\"r1\""
+event r2.log $((base + 5)) 2 router-two "$d"
+event r2.log $((base + 9)) 0 router-two "$c,$homed"
+# The same events as served by the operators' port, which knows the id of the homed request.
+event served.log $((base + 5)) 2 router-two "$d"
+event served.log $((base + 9)) 0 router-two "$c,$homed,\"request_id\":\"req-homed\""
+
+all=(--file "$WORK/r2.log" --file "$WORK/r1.log" --file "$WORK/served.log")
+show "all, in causal order" "${all[@]}"
+show "the id of a homed request finds nothing" "${all[@]}" --request-id req-homed
+show "unless it is asked for" "${all[@]}" --request-id req-homed --homed
+show "key: its partition in its service" "${all[@]}" --service design --key key-117
+show "key with another number of partitions" "${all[@]}" --service design --key key-117 \
+	--partitions 2
+show "partition" "${all[@]}" --partition 99 --service orders
+show "upstream" "${all[@]}" --upstream u2
+show "failure domain" "${all[@]}" --failure-domain fd1
+show "plan" "${all[@]}" --plan p-17
+show "request id" "${all[@]}" --request-id req-00001
+show "kinds" "${all[@]}" --kind lease-taken --kind plan-confirmed
+show "since" "${all[@]}" --since $(((base + 5) << 16 | 1))
+show "JSON, without ids of homed requests" "${all[@]}" --json --partition 99 --service design
+show "JSON, with them" "${all[@]}" --json --homed --request-id req-homed
+show "a file is missing" --file "$WORK/r1.log" --file "$WORK/r3.log" --kind lease-taken
+show "a router without a credential" --router "$NOBODY"
+printf '  credential-0123456789 \n' >"$WORK/credential"
+show "a router is missing" --file "$WORK/r1.log" --router "$NOBODY" \
+	--credential-file "$WORK/credential" --kind lease-taken
+show "key without service" "${all[@]}" --key k
+show "bad since" "${all[@]}" --since yesterday
+
+show "export, store down" "${all[@]}" --kind lease-taken --export "$OBJECTS" --wait-seconds 0
+start objects standin-objects --listen "$OBJECTS" --control "$OBJECTS_C"
+wait_port "$OBJECTS" "$OBJECTS_C"
+control "$OBJECTS_C" '{"drop_answers":1}'
+show "export, first answer lost" "${all[@]}" --kind not-run --export "$OBJECTS"
+echo "== what was exported"
+curl -s "$OBJECTS/o/?prefix=timeline/"
+echo
+name=$(curl -s "$OBJECTS/o/?prefix=timeline/" | sed 's/.*"name":"\([^"]*\)".*/\1/')
+curl -s "$OBJECTS/o/$name"
+curl -s "$OBJECTS_C/counts"
+echo
+finish "${0%.sh}.expected"
