--- a/src/process/mover.c
+++ b/src/process/mover.c
@@ -421,12 +421,15 @@
 	struct unit *u = unit_of(m, &mv->m);
 	struct assign_move am = mv->m;
 	bool changed = u->upstream != am.to;
+	const char *cause = u->upstream == 0 ? "first owner known to this broker"
+			    : am.forced	     ? "the old owner may not own keys"
+					     : "balances load";
 
 	u->upstream = am.to;
 	u->epoch = mv->epoch;
 	if (changed) {
 		ctr_inc(&ctr_moves);
-		emit(m, "owner-changed", mv, am.forced ? "old owner may not own keys" : "");
+		emit(m, "owner-changed", mv, cause);
 	}
 	unlink_move(m, mv);
 	if (am.unit == ASSIGN_HOT_KEY_MERGE) {
