--- a/test/scripts/ctl.sh
+++ b/test/scripts/ctl.sh
@@ -2,7 +2,7 @@
 # bamboocroft-ctl against a stand-in of the operators' port: output and exit code of each command,
 # fallback to other routers, answers that are lost or damaged. Compares with ctl.expected.
 set -u
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 1
 ctl=$PWD/build/san/bin/bamboocroft-ctl
 expected=$PWD/test/scripts/ctl.expected
 server=$PWD/test/scripts/ctl_server.py
--- a/test/unit_config.c
+++ b/test/unit_config.c
@@ -1,9 +1,10 @@
 /* Configuration: errors of a YAML file, home regions, routes, and what a file leaves out. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "unit.h"
+
 #include "version/config.h"
 
 #define FILE_BYTES 65536
@@ -343,13 +344,8 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *tc)
 {
-	Suite *s = suite_create("config");
-	TCase *tc = tcase_create("config");
-	SRunner *sr = srunner_create(s);
-	int failed;
-
 	tcase_add_loop_test(tc, fault_is_named_with_line_field_and_remedy, 0,
 			    (int)(sizeof(faults) / sizeof(faults[0])));
 	tcase_add_test(tc, other_input_is_refused);
@@ -361,9 +357,11 @@
 	tcase_add_test(tc, home_regions_are_intersected);
 	tcase_add_test(tc, usable_needs_intent_and_failure_domain);
 	tcase_add_test(tc, examples_are_valid);
-	suite_add_tcase(s, tc);
-	srunner_run_all(sr, CK_ENV);
-	failed = srunner_ntests_failed(sr);
-	srunner_free(sr);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	static const char *const mutants[] = {NULL};
+
+	return unit_main(argc, argv, "config", mutants, add_tests);
 }
--- a/test/unit_doc.c
+++ b/test/unit_doc.c
@@ -1,9 +1,9 @@
 /* Versioned documents: the higher version wins, reports of peers, ownership of the bytes. */
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "unit.h"
 #include "version/doc.h"
 
 static struct doc_set *set;
@@ -219,13 +219,8 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *tc)
 {
-	Suite *s = suite_create("doc");
-	TCase *tc = tcase_create("doc");
-	SRunner *sr = srunner_create(s);
-	int failed;
-
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, only_a_higher_version_replaces);
 	tcase_add_test(tc, versions_use_all_bits);
@@ -239,9 +234,11 @@
 	tcase_add_test(tc, holders_are_counted_among_the_given_nodes);
 	tcase_add_test(tc, lower_reports_are_ignored);
 	tcase_add_test(tc, forgotten_peer_counts_nowhere);
-	suite_add_tcase(s, tc);
-	srunner_run_all(sr, CK_ENV);
-	failed = srunner_ntests_failed(sr);
-	srunner_free(sr);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	static const char *const mutants[] = {NULL};
+
+	return unit_main(argc, argv, "doc", mutants, add_tests);
 }
--- a/test/unit_plan.c
+++ b/test/unit_plan.c
@@ -1,11 +1,12 @@
 /* Plans: what they say to operators, conflicts, the ledger's length, and keys of removed
  * upstreams. The property in prop_plan.cc covers races. */
-#include <check.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "unit.h"
+
 #include "version/assign.h"
 #include "version/config.h"
 #include "version/plan.h"
@@ -269,13 +270,8 @@
 }
 END_TEST
 
-int main(void)
+static void add_tests(TCase *tc)
 {
-	Suite *s = suite_create("plan");
-	TCase *tc = tcase_create("plan");
-	SRunner *sr = srunner_create(s);
-	int failed;
-
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, take_out_names_steps_keys_load_and_undo);
 	tcase_add_test(tc, plan_that_moves_no_key_says_so);
@@ -285,9 +281,11 @@
 	tcase_add_test(tc, removed_upstream_must_own_nothing);
 	tcase_add_test(tc, first_configuration_comes_from_apply);
 	tcase_add_test(tc, bad_intents_are_refused);
-	suite_add_tcase(s, tc);
-	srunner_run_all(sr, CK_ENV);
-	failed = srunner_ntests_failed(sr);
-	srunner_free(sr);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	static const char *const mutants[] = {NULL};
+
+	return unit_main(argc, argv, "plan", mutants, add_tests);
 }
