standin: drop_answers and truncate of an upstream count its requests only

Cause: in a trial run with routers, drop_answers 5 on an upstream gave 1 lost answer to a caller instead of 5; probes and grants, several a second, had used up the rest. Conclusion: probes and grants are exempt; the scripted run shows it.

--- a/standin/faults.c
+++ b/standin/faults.c
@@ -239,10 +239,10 @@
 {
 	if (faults_silent(f, x))
 		return;
-	if (f->drop_answers) {
+	if (f->drop_answers && !x->exempt) {
 		f->drop_answers--;
 		exchange_drop(x);
-	} else if (f->truncate && body.len > 1) {
+	} else if (f->truncate && !x->exempt && body.len > 1) {
 		f->truncate--;
 		exchange_truncate(x, status, type, body);
 	} else {
--- a/standin/faults.h
+++ b/standin/faults.h
@@ -11,6 +11,9 @@
  *   late_answer_ms     delay between performing a request and answering it
  *   truncate           the next n answers end in the middle of the body
  *
+ * drop_answers and truncate pass over exchanges that are exempt: an upstream exempts probes and
+ * grants, whose number depends on timing, so that n means n requests.
+ *
  * A stand-in adds switches of its own with a table.
  */
 #ifndef STANDIN_FAULTS_H
--- a/standin/httpd.h
+++ b/standin/httpd.h
@@ -47,6 +47,7 @@
 	struct exchange_header *headers;
 	size_t n_headers;
 	uint64_t connection; /* counted up with every accepted connection */
+	bool exempt;	     /* from faults that count answers, see faults.h */
 	void *user;
 	void (*on_gone)(struct exchange *x); /* may be NULL */
 	struct httpd_timer timer;	     /* free for the owner; stopped at the end */
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -184,6 +184,7 @@
 {
 	struct upstream *u = data;
 
+	x->exempt = true;
 	add_start_id(u, x);
 	if (exchange_is(x, "PUT", "/grant"))
 		put_grant(u, x);
--- a/test/scripts/standins.sh
+++ b/test/scripts/standins.sh
@@ -205,6 +205,7 @@
 	control "$UP_C" '{"wrong_id":1}'
 	ask "wrong id" order-0009
 	control "$UP_C" '{"drop_answers":1}'
+	call "probes are not counted" "$UP/health"
 	ask "lost" order-0010
 	control "$UP_C" '{"truncate":1}'
 	ask "cut" order-0011
