--- a/test/scripts/standins.sh
+++ b/test/scripts/standins.sh
@@ -216,6 +216,23 @@
 	curl -s "$UP_C/ledger" | hide
 	call "counts" "$UP_C/counts"
 
+	echo "== upstream: straggler, and an answer that comes too late"
+	control "$UP_C" '{"slow_factor":600000,"slow_for_ms":600000}'
+	curl -s -m 60 -H 'x-request-id: slow-0001' "$UP/orders" >/dev/null &
+	holder=$!
+	wait_until counts_are "$UP_C" in_use 1
+	kill "$holder" && echo "the straggler had not answered"
+	wait "$holder" 2>/dev/null
+	wait_until counts_are "$UP_C" cancelled 2
+	control "$UP_C" '{"slow_factor":1,"late_answer_ms":600000}'
+	curl -s -m 60 -H 'x-request-id: late-0001' "$UP/orders" >/dev/null &
+	holder=$!
+	wait_until counts_are "$UP_C" completed 9
+	kill "$holder" && echo "completed, but not answered"
+	wait "$holder" 2>/dev/null
+	control "$UP_C" '{"late_answer_ms":0}'
+	curl -s "$UP_C/ledger" | tail -n 2 | hide
+
 	echo "== upstream: crash"
 	control "$UP_C" '{"crash_on":"poison"}'
 	ask "harmless" order-0012 -d 'honey'
