member: settle two incarnations of one router by when they were heard

Cause: the new property "an accepted proposal is not followed by another" failed: while both incarnations of a restarted router were within their connected second, each proposal took the one that was no member, so the two replaced each other in turn. Ruled out: preferring the incarnation that is no member (the fault above); comparing incarnation strings, which have no order. Conclusion: the incarnation heard last is kept; at a tie the member stays.

--- a/src/version/member.c
+++ b/src/version/member.c
@@ -123,29 +123,25 @@
 	return !c->draining && (c->silent_for < MEMBER_SILENCE_MS || MUTANT(silent_member_kept));
 }
 
-/* Of two incarnations of one router: one that is not yet a member is newer; else the last heard. */
-static bool is_newer(const Bc__Cell *cell, const struct member_candidate *a,
-		     const struct member_candidate *b)
-{
-	bool a_current = is_current(cell, a);
-
-	if (a_current != is_current(cell, b))
-		return !a_current;
-	return a->silent_for < b->silent_for;
-}
-
+/*
+ * Of two incarnations of one router the one that was heard last is running. The member stays when
+ * both were heard at the same time, so that two proposals cannot replace each other in turn.
+ */
 static bool is_superseded(const Bc__Cell *cell, const struct member_candidate *candidates, size_t n,
 			  size_t i)
 {
+	const struct member_candidate *c = &candidates[i];
+	bool current = is_current(cell, c);
+
 	for (size_t j = 0; j < n; j++) {
-		const struct member_candidate *c = &candidates[j];
+		const struct member_candidate *other = &candidates[j];
 
-		if (j == i || strcmp(c->id, candidates[i].id) != 0 || !c->connected)
+		if (j == i || !other->connected || strcmp(other->id, c->id) != 0)
 			continue;
-		if (is_newer(cell, c, &candidates[i]))
+		if (other->silent_for < c->silent_for)
 			return true;
-		/* Equal in every respect: the earlier entry stands for both. */
-		if (j < i && !is_newer(cell, &candidates[i], c))
+		if (other->silent_for == c->silent_for && !current &&
+		    (j < i || is_current(cell, other)))
 			return true;
 	}
 	return false;
--- a/src/version/member.h
+++ b/src/version/member.h
@@ -56,12 +56,14 @@
 };
 
 /*
- * Next members of the cell: connected candidates join, a new incarnation replaces the old one, and
- * members that are gone, drain, or were silent for 3 s leave. Returns true if that differs from
- * `cell` (which may be NULL when the row does not exist); sets `keep[i]` for each candidate, to the
- * present membership if it returns false. `candidates` must list every present member. Never
- * proposes an empty set, nor a change that could not take effect because this router reaches too
- * few of the present members. The caller proposes only once `cell` itself has taken effect.
+ * Next members of the cell: connected candidates join, a new incarnation replaces the old one (of
+ * two with the same id the one that was heard last is the new one), and members that are gone,
+ * drain, or were silent for 3 s leave. Returns true if that differs from `cell` (which may be NULL
+ * when the row does not exist); sets `keep[i]` for each candidate, to the present membership if it
+ * returns false. `candidates` must list every present member.
+ *
+ * Never proposes an empty set, nor a change that could not take effect because this router reaches
+ * too few of the present members. The caller proposes only once `cell` itself has taken effect.
  */
 bool member_propose(const Bc__Cell *cell, const struct member_candidate *candidates, size_t n,
 		    bool *keep);
--- /dev/null
+++ b/test/prop_member.cc
@@ -0,0 +1,384 @@
+/*
+ * Membership rules of a cell against a model that is written from the design page.
+ *
+ * Each property runs 100 RapidCheck cases; each case runs RUNS_PER_CASE random situations (or
+ * sequences of changes), so 5,000 for each property.
+ */
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+extern "C" {
+#include "base/mutant.h"
+#include "base/rnd.h"
+#include "version/member.h"
+}
+#include "prop.h"
+
+namespace
+{
+
+const int RUNS_PER_CASE = 50;
+const clk_ms LEASE_MS = 800;
+const clk_ms SILENCE_MS = 3000;
+
+typedef std::pair<std::string, std::string> Life; /* id and incarnation */
+
+/* Owns what a Bc__Cell points to. */
+class CellDoc
+{
+      public:
+	CellDoc(uint64_t version, const std::vector<Life> &members,
+		const std::vector<Life> &previous)
+	{
+		fill(members, member_ptrs_);
+		fill(previous, previous_ptrs_);
+		cell = BC__CELL__INIT;
+		cell.version = version;
+		cell.n_members = member_ptrs_.size();
+		cell.members = member_ptrs_.data();
+		cell.n_previous = previous_ptrs_.size();
+		cell.previous = previous_ptrs_.data();
+	}
+	CellDoc(const CellDoc &) = delete;
+
+	Bc__Cell cell;
+
+      private:
+	std::deque<Life> names_;
+	std::deque<Bc__Member> storage_;
+	std::vector<Bc__Member *> member_ptrs_, previous_ptrs_;
+
+	void fill(const std::vector<Life> &lives, std::vector<Bc__Member *> &ptrs)
+	{
+		for (const auto &life : lives) {
+			Bc__Member m = BC__MEMBER__INIT;
+
+			names_.push_back(life);
+			m.id = &names_.back().first[0];
+			m.incarnation = &names_.back().second[0];
+			storage_.push_back(m);
+			ptrs.push_back(&storage_.back());
+		}
+	}
+};
+
+class Random
+{
+      public:
+	Random(uint64_t seed)
+	{
+		rnd_seed(&state_, seed);
+	}
+	uint64_t below(uint64_t n)
+	{
+		return rnd_below(&state_, n);
+	}
+	bool chance(double p)
+	{
+		return rnd_unit(&state_) < p;
+	}
+	/* Distinct ids, each with one of two incarnations. */
+	std::vector<Life> lives(size_t max)
+	{
+		std::vector<Life> out;
+
+		for (size_t i = 0; i < max; i++) {
+			if (chance(0.6))
+				out.push_back({"r" + std::to_string(i), chance(0.7) ? "a" : "b"});
+		}
+		return out;
+	}
+
+      private:
+	struct rnd state_;
+};
+
+template <typename Run> bool check_many(const std::string &name, Run run)
+{
+	return rc::check(name, [=] {
+		const auto seed = *rc::gen::arbitrary<uint64_t>();
+
+		for (int k = 0; k < RUNS_PER_CASE; k++)
+			run(Random(rnd_mix(seed, (uint64_t)k)));
+	});
+}
+
+uint64_t number(const Life &life)
+{
+	return member_node(life.first.c_str(), life.second.c_str());
+}
+
+/* Guards against two disjoint majorities, for example half and half of an even cell. */
+bool majorities_overlap()
+{
+	return check_many("two majorities share a member", [](Random rnd) {
+		size_t n = 1 + rnd.below(64);
+
+		RC_ASSERT(member_majority(n) * 2 > n);
+		RC_ASSERT(member_majority(n) <= n);
+		RC_ASSERT((member_majority(n) - 1) * 2 <= n);
+	});
+}
+
+/* Guards against an incarnation that is taken for another one, and against number 0 (nobody). */
+bool numbers_differ()
+{
+	return check_many("each incarnation has its own number", [](Random rnd) {
+		std::set<uint64_t> seen;
+
+		for (int i = 0; i < 20; i++) {
+			for (int k = 0; k < 5; k++) {
+				uint64_t n = number({"r" + std::to_string(i), std::to_string(k)});
+
+				RC_ASSERT(n != 0u);
+				RC_ASSERT(seen.insert(n).second);
+			}
+		}
+		RC_ASSERT(number({"a", "bc"}) != number({"ab", "c"}));
+		RC_ASSERT(number({"a", "b"}) != number({"b", "a"}));
+	});
+}
+
+/*
+ * Guards against a version that takes effect while a majority of the version before can still
+ * confirm, or before the last lease under it has run out. Reports arrive one by one.
+ */
+bool activation_waits()
+{
+	return check_many("a version takes effect only after the one before ended", [](Random rnd) {
+		const uint64_t version = 10;
+		std::vector<Life> previous = rnd.lives(9);
+		std::vector<Life> members = rnd.lives(9);
+		CellDoc doc(version, members, previous);
+		std::map<uint64_t, struct member_seen> known;
+		struct member_gate gate = {0};
+		clk_ms now = 1 + (clk_ms)rnd.below(1000);
+		clk_ms since = -1;
+
+		for (int step = 0; step < 60; step++) {
+			std::vector<struct member_seen> seen;
+			size_t cannot_confirm = 0;
+
+			now += (clk_ms)rnd.below(120);
+			std::vector<Life> all = previous;
+			all.insert(all.end(), members.begin(), members.end());
+			if (!all.empty() && rnd.chance(0.4)) {
+				uint64_t node = number(all[rnd.below(all.size())]);
+				struct member_seen &s = known[node];
+
+				s.node = node;
+				s.cell_version = std::max<uint64_t>(s.cell_version,
+								    version - 1 + rnd.below(3));
+				s.gone |= rnd.chance(0.1);
+			}
+			for (const auto &entry : known)
+				seen.push_back(entry.second);
+			for (const auto &p : previous) {
+				auto it = known.find(number(p));
+				bool told = it != known.end() &&
+					    (it->second.gone || it->second.cell_version >= version);
+				bool replaced = std::any_of(
+					members.begin(), members.end(), [&](const Life &m) {
+						return m.first == p.first && m.second != p.second;
+					});
+
+				cannot_confirm += told || replaced;
+			}
+			/* Those left over must be fewer than a majority (n / 2 + 1). */
+			if (since < 0 && previous.size() - cannot_confirm < previous.size() / 2 + 1)
+				since = now;
+			bool expected = previous.empty() || (since >= 0 && now - since >= LEASE_MS);
+			bool active = member_may_activate(&gate, now, LEASE_MS, &doc.cell,
+							  seen.data(), seen.size());
+
+			RC_ASSERT(active == expected);
+		}
+	});
+}
+
+struct Situation {
+	std::vector<Life> members;
+	std::vector<Life> lives;
+	std::vector<struct member_candidate> candidates;
+
+	Situation(Random &rnd) : members(rnd.lives(8))
+	{
+		lives = members;
+		for (const auto &life : rnd.lives(10)) {
+			if (std::find(lives.begin(), lives.end(), life) == lives.end())
+				lives.push_back(life);
+		}
+		double trouble = rnd.chance(0.5) ? 0.1 : 0.5;
+		for (const auto &life : lives) {
+			struct member_candidate c = {};
+
+			c.id = life.first.c_str();
+			c.incarnation = life.second.c_str();
+			c.silent_for = (clk_ms)rnd.below(rnd.chance(0.5) ? 3 : 900);
+			c.connected = !rnd.chance(trouble);
+			if (!c.connected)
+				c.silent_for = 1000 + (clk_ms)rnd.below(4000);
+			c.gone = !c.connected && rnd.chance(0.3);
+			c.draining = rnd.chance(trouble / 3);
+			candidates.push_back(c);
+		}
+	}
+	Situation(const Situation &) = delete;
+
+	bool is_member(size_t i) const
+	{
+		return std::find(members.begin(), members.end(), lives[i]) != members.end();
+	}
+	/* Another incarnation of the same router was heard later; the member wins a tie. */
+	bool is_replaced(size_t i) const
+	{
+		for (size_t j = 0; j < lives.size(); j++) {
+			if (j == i || lives[j].first != lives[i].first || !candidates[j].connected)
+				continue;
+			if (std::make_tuple(candidates[j].silent_for, !is_member(j), j) <
+			    std::make_tuple(candidates[i].silent_for, !is_member(i), i))
+				return true;
+		}
+		return false;
+	}
+};
+
+/*
+ * Guards against members that stay although they are gone, silent, draining or replaced, against
+ * routers that are not taken in, and against a proposal of a minority or of an empty cell.
+ */
+bool proposals_follow_rules()
+{
+	return check_many("proposed members follow the rules", [](Random rnd) {
+		Situation s(rnd);
+		CellDoc doc(4, s.members, {});
+		size_t n = s.candidates.size();
+		std::unique_ptr<bool[]> keep(new bool[n + 1]);
+		std::vector<bool> expected(n);
+		size_t kept = 0, reached = 0;
+		bool differs = false;
+
+		for (size_t i = 0; i < n; i++) {
+			const struct member_candidate &c = s.candidates[i];
+
+			if (s.is_member(i)) {
+				expected[i] = !c.gone && !c.draining && c.silent_for < SILENCE_MS &&
+					      !s.is_replaced(i);
+				reached += c.connected || c.gone || s.is_replaced(i);
+			} else {
+				expected[i] =
+					c.connected && !c.gone && !c.draining && !s.is_replaced(i);
+			}
+			kept += expected[i];
+			differs |= expected[i] != s.is_member(i);
+		}
+		/* Those that are not reached must be fewer than a majority. */
+		bool allowed =
+			s.members.empty() || s.members.size() - reached < s.members.size() / 2 + 1;
+		bool proposed = member_propose(&doc.cell, s.candidates.data(), n, keep.get());
+
+		RC_ASSERT(proposed == (differs && kept > 0 && allowed));
+		for (size_t i = 0; i < n; i++)
+			RC_ASSERT(keep[i] == (proposed ? expected[i] : s.is_member(i)));
+	});
+}
+
+/* Guards against proposals that follow each other for ever without a change of what is known. */
+bool proposals_settle()
+{
+	return check_many("an accepted proposal is not followed by another", [](Random rnd) {
+		Situation s(rnd);
+		CellDoc doc(4, s.members, {});
+		size_t n = s.candidates.size();
+		std::unique_ptr<bool[]> keep(new bool[n + 1]);
+		std::vector<Life> next;
+
+		if (!member_propose(&doc.cell, s.candidates.data(), n, keep.get()))
+			return;
+		for (size_t i = 0; i < n; i++) {
+			if (keep[i])
+				next.push_back(s.lives[i]);
+		}
+		RC_ASSERT(!next.empty());
+		CellDoc after(5, next, s.members);
+		RC_ASSERT(!member_propose(&after.cell, s.candidates.data(), n, keep.get()));
+	});
+}
+
+/* Guards against a first cell that nobody can write, and against two members with one id. */
+bool first_cell()
+{
+	return check_many("the first cell has each connected router once", [](Random rnd) {
+		Situation s(rnd);
+		size_t n = s.candidates.size();
+		std::unique_ptr<bool[]> keep(new bool[n + 1]);
+		std::set<std::string> ids, joined;
+
+		for (size_t i = 0; i < n; i++) {
+			const struct member_candidate &c = s.candidates[i];
+
+			if (c.connected && !c.gone && !c.draining)
+				ids.insert(c.id);
+		}
+		bool proposed = member_propose(nullptr, s.candidates.data(), n, keep.get());
+		for (size_t i = 0; i < n; i++) {
+			if (!keep[i])
+				continue;
+			RC_ASSERT(s.candidates[i].connected);
+			RC_ASSERT(joined.insert(s.candidates[i].id).second);
+		}
+		RC_ASSERT(proposed == !joined.empty());
+		for (const auto &id : joined)
+			RC_ASSERT(ids.count(id) == 1u);
+	});
+}
+
+/* Guards against dropping a member of which the caller said nothing. */
+bool unlisted_member_stays()
+{
+	return check_many("a member that is not listed is not dropped", [](Random rnd) {
+		Situation s(rnd);
+		CellDoc doc(4, s.members, {});
+		size_t n = s.candidates.size();
+		std::unique_ptr<bool[]> keep(new bool[n + 1]);
+
+		/* Members come first in the list, so this leaves out a member. */
+		if (s.members.empty())
+			return;
+		RC_ASSERT(!member_propose(&doc.cell, s.candidates.data() + 1, n - 1, keep.get()));
+	});
+}
+
+bool run()
+{
+	bool ok = majorities_overlap();
+
+	ok = numbers_differ() && ok;
+	ok = activation_waits() && ok;
+	ok = proposals_follow_rules() && ok;
+	ok = proposals_settle() && ok;
+	ok = first_cell() && ok;
+	return unlisted_member_stays() && ok;
+}
+
+const char *const mutants[] = {
+	"minority_as_majority", "version_at_once",     "version_without_lease_time",
+	"new_members_counted",	"gone_member_kept",    "silent_member_kept",
+	"minority_proposes",	"empty_cell_proposed", nullptr,
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	return prop_main(argc, argv, mutants, run);
+}
