--- /dev/null
+++ b/test/scripts/failures.sh
@@ -0,0 +1,41 @@
+#!/bin/bash
+# Owners killed and frozen, brokers killed and paused, the table service down, a planned stop, all
+# under load. Guards against two runs of one order, a false "not run", two owners of a key, and an
+# answer that reaches another request (P1, P6, P7, P8, P10).
+. "$(dirname "$0")/deployment.sh"
+begin_deployment 91 3
+
+run() {
+	local broker
+	start_load lookups 14 --path /history/x --rate 100 --keys 300 --request-ids --idempotent --seed 3
+	start_load orders 14 --path /orders/new --method POST --body-bytes 300 --rate 40 --request-ids --repeat-percent 10 --seed 4
+	sleep 1
+	echo "kill an owner of keys"
+	cluster_end history-meseta-1 KILL
+	sleep 2
+	echo "kill the broker of history"
+	broker=$(broker_of pacifico history)
+	# One router of each region stays for questions.
+	if [ "$broker" = pacifico-1 ]; then broker=$(broker_of pacifico orders); fi
+	[ "$broker" = pacifico-1 ] || cluster_end "$broker" KILL
+	sleep 2
+	echo "freeze an owner of keys, then let it go on"
+	cluster_signal history-pacifico-1 STOP
+	sleep 2
+	cluster_signal history-pacifico-1 CONT
+	echo "table service down; pause the broker of orders"
+	cluster_fault "$(cluster_ip 0 1):7001" '{"down":true}'
+	broker=$(broker_of meseta orders)
+	cluster_signal "$broker" STOP
+	sleep 2
+	cluster_signal "$broker" CONT
+	cluster_fault "$(cluster_ip 0 1):7001" '{"down":false}'
+	sleep 1
+	echo "planned stop of a router"
+	cluster_end meseta-3 TERM
+	echo "exit code $?"
+	end_load lookups history-
+	end_load orders orders-
+}
+
+compare_output test/scripts/failures.expected run
