--- a/src/process/node.c
+++ b/src/process/node.c
@@ -567,11 +567,14 @@
 /* How long a planned stop waits for requests: the longest deadline, its margin, and the answers. */
 #define DRAIN_LIMIT_MS (NODE_MAX_TIMEOUT_MS + 1000)
 
+/* By then callers that reuse connections have seen "connection: close" on one of them. */
+#define DRAIN_IDLE_MS 5000
+
 static void tick_drain(struct node *n, clk_ms now)
 {
 	bool finished = entry_list_open(n->entries) == 0 && listener_connections(n->callers) == 0;
-	/* Idle connections of callers and the balancer close within this time after the stop. */
-	bool idle = entry_list_open(n->entries) == 0 && now - n->drain_since > 1500;
+	/* Idle connections stay open so that a request under way to them is still answered. */
+	bool idle = entry_list_open(n->entries) == 0 && now - n->drain_since > DRAIN_IDLE_MS;
 
 	if (finished || idle || now - n->drain_since > DRAIN_LIMIT_MS)
 		n->stopped = true;
