--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -454,7 +454,9 @@
 	ok &= verdict("imbalance, worst window", w->each[w->n - 1], MAX_IMBALANCE);
 	ok &= verdict("changed over lost, one upstream, at once, worst",
 		      one[METHOD_ASSIGN].worst_at_once, MAX_CHURN);
-	ok &= verdict("changed over lost, one upstream, settled, all losses",
+	ok &= verdict("changed over lost, one upstream, settled, all losses, keys",
+		      one[METHOD_ASSIGN].settled.keys / one[METHOD_ASSIGN].lost.keys, MAX_CHURN);
+	ok &= verdict("changed over lost, one upstream, settled, all losses, load",
 		      one[METHOD_ASSIGN].settled.load / one[METHOD_ASSIGN].lost.load, MAX_CHURN);
 	ok &= verdict("changed over lost, a quarter, at once, worst",
 		      quarter[METHOD_ASSIGN].worst_at_once, MAX_CHURN);
--- a/src/version/assign.c
+++ b/src/version/assign.c
@@ -494,14 +494,15 @@
 	double want; /* load that should leave `from` */
 	double peak; /* higher level of both after the move */
 	double load; /* of the unit, 0 if none was found */
+	bool hot;    /* a single key */
 	bool enough; /* relieves `from` and does not overload `to` */
 	size_t unit;
 	struct candidate *key; /* to be split off first */
 };
 
 /*
- * The lightest unit that is enough, so that little changes its owner; if none is enough, the one
- * that brings both upstreams closest together.
+ * The lightest unit that is enough, single keys before partitions, so that few keys change their
+ * owner; if none is enough, the one that brings both upstreams closest together.
  */
 static void consider(const struct planner *p, struct choice *c, double load, size_t unit,
 		     struct candidate *key)
@@ -510,6 +511,7 @@
 	double peak = peak_after(&p->ups[c->from], to, load);
 	bool enough =
 		load >= c->want && to->load + load <= p->opts->max_imbalance * p->mean * to->slots;
+	bool hot = key || p->units[unit].hot;
 	bool better;
 
 	/* The higher level must fall, so that planning under unchanged load comes to an end.
@@ -520,6 +522,8 @@
 		return;
 	if (c->load <= 0 || enough != c->enough)
 		better = c->load <= 0 || enough;
+	else if (enough && hot != c->hot)
+		better = hot;
 	else
 		better = enough ? load < c->load : peak < c->peak;
 	if (!better)
@@ -529,6 +533,7 @@
 	c->enough = enough;
 	c->unit = unit;
 	c->key = key;
+	c->hot = hot;
 }
 
 static void consider_units(const struct planner *p, struct choice *c)
