--- a/test/scripts/deployment.sh
+++ b/test/scripts/deployment.sh
@@ -25,7 +25,7 @@
 }
 
 begin_deployment() {
-	CLUSTER_NET=$1
+	export CLUSTER_NET=$1
 	trap finish_deployment EXIT
 	cluster_start_all "$2" && cluster_wait_for 60 cluster_apply >/dev/null && cluster_wait_ready "$2" || exit 1
 	ENTRIES=()
