connection, process: contracts that the checks brought up; mutant for homed request ids

Cause: the headers did not say which headers upconn writes itself, that a malformed answer counts as BROKE, that a peer handler must not destroy its set, nor what the settings file looks like. The check that request ids of requests with home regions stay out of log lines had no mutant.

Ruled out: a result of its own for malformed answers. It would change an interface that others build on now; the caller treats both the same way, as an outcome that is not known.

--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -37,6 +37,10 @@
 	clk_ms last_heard;
 };
 
+/*
+ * Called from the loop. A `struct peer_info` stays valid until the loop's next turn. A handler may
+ * send and add or remove addresses, but must not destroy the set.
+ */
 struct peer_handlers {
 	/* The frame is freed after the call. HELLO frames are handled by the set. */
 	void (*on_frame)(void *data, const struct peer_info *from, const Bc__Frame *frame);
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -31,14 +31,21 @@
 	UPCONN_OK,	       /* whole answer */
 	UPCONN_NOT_SENT,       /* may_send() said no; nothing was written */
 	UPCONN_CONNECT_FAILED, /* nothing was written */
-	UPCONN_BROKE,	       /* connection ended after the write began, before the answer's end */
-	UPCONN_TIMEOUT,	       /* no whole answer in time; `sent` tells whether the write began */
-	UPCONN_MISMATCH,       /* answer to another request; the connection was closed */
-	UPCONN_TOO_LARGE,      /* answer over UPCONN_MAX_ANSWER_BYTES */
+	/* Connection ended after the write began, before the answer's end; also a malformed answer.
+	 */
+	UPCONN_BROKE,
+	UPCONN_TIMEOUT,	  /* no whole answer in time; `sent` tells whether the write began */
+	UPCONN_MISMATCH,  /* answer to another request; the connection was closed */
+	UPCONN_TOO_LARGE, /* answer over UPCONN_MAX_ANSWER_BYTES */
 };
 
 const char *upconn_result_name(enum upconn_result result);
 
+/*
+ * The headers host, content-length, transfer-encoding and connection, and x-request-id next to
+ * `request_id`, are written by upconn; such entries in `headers` are left out. A request that
+ * could not be told apart from the next one (line breaks, NUL) ends with NOT_SENT.
+ */
 struct upconn_request {
 	struct str method;
 	struct str path;
--- a/src/process/event.c
+++ b/src/process/event.c
@@ -6,6 +6,7 @@
 
 #include "base/clk.h"
 #include "base/log.h"
+#include "base/mutant.h"
 
 /* One kept event; the strings it points to follow it in the same allocation. */
 struct kept {
@@ -94,7 +95,7 @@
 	write_str(out, "upstream", ev->upstream);
 	write_str(out, "failure_domain", ev->failure_domain);
 	write_str(out, "plan", ev->plan);
-	if (!ev->homed || with_homed)
+	if (!ev->homed || with_homed || MUTANT(event_show_homed_id))
 		write_str(out, "request_id", ev->request_id);
 	if (ev->homed)
 		fputs(",\"homed\":true", out);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -1,4 +1,8 @@
-/* Settings file of a router (YAML), read and checked as a whole at start. */
+/*
+ * Settings file of a router (YAML), read and checked as a whole at start. One "field: value" a
+ * line, with the names of the members below; addresses are written IP:PORT, seeds are a list of
+ * them. All but seeds, max_body_bytes, link_bytes_per_second and log_level are required.
+ */
 #ifndef PROCESS_SETTINGS_H
 #define PROCESS_SETTINGS_H
 
--- a/test/unit_event.c
+++ b/test/unit_event.c
@@ -239,6 +239,8 @@
 }
 END_TEST
 
+static const char *const mutants[] = {"event_show_homed_id", NULL};
+
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, line_is_json_with_the_fields_given);
@@ -250,5 +252,5 @@
 
 int main(int argc, char **argv)
 {
-	return unit_main(argc, argv, "event", UNIT_NO_MUTANTS, add_tests);
+	return unit_main(argc, argv, "event", mutants, add_tests);
 }
