connection: a pause of this process is not counted as the silence of its peers

Cause: after a pause of more than 600 ms the first tick found every peer silent and closed all connections, before the peers could be heard; that also made the checks depend on the machine never stopping for that long.

Ruled out: relying on unread input alone. Peers that were paused together (one loop, one machine) have sent nothing yet.

Conclusion: a router that was paused keeps its connections if the peers still do.

--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -22,6 +22,8 @@
 #include "connection/timer.h"
 
 #define TICK_MS 50
+/* A tick that is later than this means that this process did not run, so it could not listen. */
+#define PAUSE_MS 150
 #define DIAL_MIN_MS 100
 #define DIAL_MAX_MS 2000
 /* For the connection and the peer's HELLO; a packet is sent again after 1 s at the latest. */
@@ -105,6 +107,8 @@
 	struct conn *conns;
 	struct conn *by_node;
 	struct timer tick;
+	clk_ms last_tick;
+	clk_ms resumed_at; /* end of the last pause of this process; silence counts from here */
 	struct rnd rnd;
 	size_t n_strangers; /* accepted and without HELLO */
 	uint64_t remote_bytes[N_CAUSES];
@@ -680,8 +684,10 @@
 static void check_conn(struct conn *c, clk_ms now)
 {
 	Bc__Frame empty = BC__FRAME__INIT;
+	clk_ms since =
+		c->info.last_heard > c->set->resumed_at ? c->info.last_heard : c->set->resumed_at;
 
-	if (now - c->info.last_heard > silence_limit(c) && !has_unread_input(c) &&
+	if (now - since > silence_limit(c) && !has_unread_input(c) &&
 	    !MUTANT(peer_ignore_silence)) {
 		ctr_inc(&ctr_silent);
 		log_warn(&log, "closed the connection %s %s: silent for %lld ms",
@@ -700,6 +706,9 @@
 	clk_ms now = clk_now();
 
 	timer_arm(timer, TICK_MS);
+	if (now - set->last_tick > TICK_MS + PAUSE_MS)
+		set->resumed_at = now;
+	set->last_tick = now;
 	free_dead(set);
 	/* Handlers may close connections, which then stay in the list until the next tick. */
 	for (struct conn *c = set->conns; c; c = c->next) {
--- a/test/unit_peer.c
+++ b/test/unit_peer.c
@@ -569,6 +569,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that was paused closing all of its connections when it runs again,
+ * although the peers have had no chance to be heard.
+ */
+START_TEST(own_pause_is_not_the_silence_of_peers)
+{
+	h2o_loop_t *loop = h2o_evloop_create();
+	Bc__Hello hello = make_hello(LOW_IP, 4000, "meseta");
+	struct side s;
+	struct raw r;
+
+	side_start(&s, loop, MID_IP, 11, "meseta");
+	raw_dial(&r, &s, LOW_IP);
+	raw_send_hello(&r, &hello, 22);
+	wait_for(loop, &s.ups, 1);
+	for (int i = 1; i <= 2; i++) {
+		usleep(2 * PEER_SILENCE_MS * 1000); /* the loop does not run */
+		h2o_evloop_run(loop, 0);
+		h2o_evloop_run(loop, 0);
+		raw_send_cancel(&r, 22);
+		wait_for(loop, &s.frames, i);
+	}
+	ck_assert_int_eq(s.downs, 0);
+	close(r.fd);
+	side_stop(&s);
+	unit_loop_destroy(loop);
+}
+END_TEST
+
 /* Guards against heartbeats over the paid link, and against it never being given up. */
 START_TEST(remote_peer_gets_keepalives_and_a_longer_silence)
 {
@@ -852,6 +881,7 @@
 	tcase_add_test(tc, second_dial_of_the_same_peer_replaces_the_first);
 	tcase_add_test(tc, new_incarnation_replaces_the_old_one);
 	tcase_add_test(tc, silent_peer_is_closed_and_dialled_again);
+	tcase_add_test(tc, own_pause_is_not_the_silence_of_peers);
 	tcase_add_test(tc, remote_peer_gets_keepalives_and_a_longer_silence);
 	tcase_add_test(tc, garbage_before_hello_is_closed_and_counted);
 	tcase_add_test(tc, bad_hello_is_refused);
