lease: revert the joint change of members

Cause: two ways to keep a lease through a change of the cell were written at the same time: confirmations by both the old and the new majority, and versions that change one member at a time. Ruled out: keeping both (two rules for one fact). The joint way also covers changes of several members at once, but needs a second member list in every lease and in each step of a holder. Conclusion: one member at a time is kept; it needs no second list and the holder never stops.

--- a/src/process/lease.c
+++ b/src/process/lease.c
@@ -3,11 +3,6 @@
  * one duration of its own clock. The holder counts a confirmation from when it sent the ask, less
  * the drift allowance. A confirmer grants only ballots above every one it granted before, so two
  * holders, whose majorities share a member, have growing numbers.
- *
- * While a newer cell version is known but not in effect, a holder counts only confirmations by a
- * majority of each of the two versions. So no other node can hold the lease under either of them,
- * and the holder keeps it through the change. Without this every change of a cell left all of its
- * services without a broker until the new version took effect.
  */
 #include "process/lease.h"
 
@@ -34,15 +29,6 @@
 	uint64_t refused_for; /* candidate: whom it supports instead, 0 if it did not refuse */
 };
 
-/* Members of one cell version, newest confirmation first. */
-struct group {
-	uint64_t version; /* 0: none */
-	struct supporter *members;
-	size_t n;
-	bool has_self;
-	uint32_t rank; /* of this node */
-};
-
 struct lease {
 	struct lease_options opts;
 	uint64_t self;
@@ -60,8 +46,12 @@
 	uint64_t told_holder;
 	clk_ms told_until;
 
-	struct group cell; /* version in effect */
-	struct group next; /* newer version that is not in effect yet */
+	/* Members of the version in effect, newest confirmation first. */
+	uint64_t version;
+	struct supporter *members;
+	size_t n;
+	bool is_member;
+	uint32_t rank;
 
 	/* As candidate or holder. */
 	bool may_hold;
@@ -110,28 +100,27 @@
 {
 	if (!l)
 		return;
-	free(l->cell.members);
-	free(l->next.members);
+	free(l->members);
 	free(l);
 }
 
-static struct supporter *find_member(const struct group *g, uint64_t node)
+static struct supporter *find_member(const struct lease *l, uint64_t node)
 {
-	for (size_t i = 0; i < g->n; i++) {
-		if (g->members[i].node == node)
-			return &g->members[i];
+	for (size_t i = 0; i < l->n; i++) {
+		if (l->members[i].node == node)
+			return &l->members[i];
 	}
 	return NULL;
 }
 
 /* Rank by rendezvous weight; the node number decides between equal weights. */
-static uint32_t rank_of(const struct lease *l, const struct group *g, uint64_t node)
+static uint32_t rank_of(const struct lease *l, uint64_t node)
 {
 	uint64_t weight = rnd_mix(l->service_hash, node);
 	uint32_t rank = 0;
 
-	for (size_t i = 0; i < g->n; i++) {
-		uint64_t other = g->members[i].node;
+	for (size_t i = 0; i < l->n; i++) {
+		uint64_t other = l->members[i].node;
 		uint64_t w = rnd_mix(l->service_hash, other);
 
 		if (w > weight || (w == weight && other > node))
@@ -140,52 +129,12 @@
 	return rank;
 }
 
-static void clear_confirmations(struct group *g)
-{
-	for (size_t i = 0; i < g->n; i++) {
-		g->members[i].confirmed = NOT_CONFIRMED;
-		g->members[i].refused_for = 0;
-	}
-}
-
-static void fill_group(const struct lease *l, struct group *g, uint64_t version,
-		       const uint64_t *members, size_t n)
-{
-	struct supporter *grown = realloc(g->members, (n ? n : 1) * sizeof(*grown));
-
-	if (!grown)
-		abort();
-	*g = (struct group){.version = version, .members = grown, .n = n};
-	for (size_t i = 0; i < n; i++)
-		g->members[i].node = members[i];
-	clear_confirmations(g);
-	for (size_t i = 0; i < n; i++) {
-		g->members[i].rank = rank_of(l, g, members[i]);
-		if (members[i] != l->self)
-			continue;
-		g->has_self = true;
-		g->rank = g->members[i].rank;
-	}
-}
-
-static void drop_next(struct lease *l)
-{
-	free(l->next.members);
-	l->next = (struct group){0};
-}
-
-/* The next version becomes the one in effect, with the confirmations it has. */
-static void promote_next(struct lease *l)
-{
-	free(l->cell.members);
-	l->cell = l->next;
-	l->next = (struct group){0};
-}
-
 static void forget_round(struct lease *l)
 {
-	clear_confirmations(&l->cell);
-	clear_confirmations(&l->next);
+	for (size_t i = 0; i < l->n; i++) {
+		l->members[i].confirmed = NOT_CONFIRMED;
+		l->members[i].refused_for = 0;
+	}
 }
 
 static void leave_phase(struct lease *l)
@@ -203,29 +152,34 @@
 	return l->confirmed && l->confirmed != l->self && now < l->confirmed_until;
 }
 
-static bool is_held_by_clock(const struct lease *l, clk_ms now)
-{
-	return now < l->expires || MUTANT(expiry_ignored);
-}
-
 void lease_set_members(struct lease *l, clk_ms now, uint64_t cell_version, const uint64_t *members,
 		       size_t n)
 {
-	bool kept = false;
+	struct supporter *grown;
 
-	if (cell_version <= l->cell.version)
+	if (cell_version <= l->version)
 		return;
+	grown = realloc(l->members, (n ? n : 1) * sizeof(*grown));
+	if (!grown)
+		abort();
+	l->members = grown;
+	l->n = n;
+	l->version = cell_version;
 	l->known_version = larger(l->known_version, cell_version);
-	if (cell_version == l->next.version) {
-		promote_next(l);
-		kept = l->phase == LEASE_HOLDER && is_held_by_clock(l, now) && l->cell.has_self;
-	} else {
-		fill_group(l, &l->cell, cell_version, members, n);
-		if (l->next.version < cell_version)
-			drop_next(l);
+	l->is_member = false;
+	for (size_t i = 0; i < n; i++)
+		l->members[i].node = members[i];
+	for (size_t i = 0; i < n; i++) {
+		l->members[i].rank = rank_of(l, members[i]);
+		if (members[i] != l->self)
+			continue;
+		l->is_member = true;
+		l->rank = l->members[i].rank;
 	}
-	if (kept)
-		return;
+	/*
+	 * A lease held under the version before has run out by now, because the rule of
+	 * version/member waits for that. Its confirmations do not count under the new members.
+	 */
 	leave_phase(l);
 	l->told_holder = 0;
 	l->free_at = later(now, l->started + l->opts.duration);
@@ -233,25 +187,6 @@
 		l->free_at = later(l->free_at, l->confirmed_until);
 }
 
-void lease_set_next_members(struct lease *l, uint64_t cell_version, const uint64_t *members,
-			    size_t n)
-{
-	lease_note_version(l, cell_version);
-	if (cell_version <= l->cell.version || cell_version <= l->next.version)
-		return;
-	/* A version is written only after the one before took effect, at the writer at least. */
-	if (l->next.version && cell_version == l->next.version + 1)
-		promote_next(l);
-	/*
-	 * A holder that missed a version has lost the lease: the missed one had to take effect
-	 * before this one was written.
-	 */
-	if (cell_version == l->cell.version + 1)
-		fill_group(l, &l->next, cell_version, members, n);
-	else
-		drop_next(l);
-}
-
 void lease_set_may_hold(struct lease *l, bool may_hold)
 {
 	l->may_hold = may_hold;
@@ -262,6 +197,11 @@
 	l->known_version = larger(l->known_version, cell_version);
 }
 
+static bool is_held_by_clock(const struct lease *l, clk_ms now)
+{
+	return now < l->expires || MUTANT(expiry_ignored);
+}
+
 /*
  * Both clocks may drift by the stated rate, in opposite directions. The fixed part covers clock
  * values that were rounded down to whole milliseconds.
@@ -281,7 +221,7 @@
 		return false;
 	if (ask->cell_version < l->known_version && !MUTANT(old_version_confirmed))
 		return false;
-	if (ask->cell_version == l->cell.version && !find_member(&l->cell, from))
+	if (ask->cell_version == l->version && !find_member(l, from))
 		return false;
 	if (l->confirmed && l->confirmed != from && now < l->confirmed_until &&
 	    !MUTANT(confirmation_not_kept))
@@ -318,36 +258,20 @@
 	l->free_at = now;
 }
 
-/* When the confirmations of a majority of the group run out; NOT_CONFIRMED without a majority. */
-static clk_ms majority_until(const struct lease *l, const struct group *g)
+/* Takes the time at which a majority last confirmed, which decides how long the lease is held. */
+static void evaluate(struct lease *l, clk_ms now)
 {
-	size_t majority = member_majority(g->n);
+	size_t majority = member_majority(l->n);
 	clk_ms base;
+	clk_ms until;
 
-	if (majority == 0 || majority > g->n)
-		return NOT_CONFIRMED;
-	base = g->members[majority - 1].confirmed;
+	if (majority == 0 || majority > l->n)
+		return;
+	base = l->members[majority - 1].confirmed;
 	if (base == NOT_CONFIRMED)
-		return NOT_CONFIRMED;
-	return base + l->opts.duration - drift_allowance(&l->opts);
-}
-
-static clk_ms confirmed_until(const struct lease *l)
-{
-	clk_ms until = majority_until(l, &l->cell);
-	clk_ms until_next;
-
-	if (!l->next.version || MUTANT(old_members_suffice))
-		return until;
-	until_next = majority_until(l, &l->next);
-	return until < until_next && !MUTANT(next_members_suffice) ? until : until_next;
-}
-
-static void evaluate(struct lease *l, clk_ms now)
-{
-	clk_ms until = confirmed_until(l);
-
-	if (until == NOT_CONFIRMED || now >= until)
+		return;
+	until = base + l->opts.duration - drift_allowance(&l->opts);
+	if (now >= until)
 		return;
 	if (l->phase == LEASE_CANDIDATE) {
 		l->phase = LEASE_HOLDER;
@@ -358,17 +282,13 @@
 }
 
 /* Members stay sorted by their newest confirmation. */
-static void note_confirmed(struct group *g, uint64_t node, clk_ms sent)
+static void note_confirmed(struct lease *l, struct supporter *m, clk_ms sent)
 {
-	struct supporter *m = find_member(g, node);
-
-	if (!m)
-		return;
 	m->refused_for = 0;
 	if (sent <= m->confirmed)
 		return;
 	m->confirmed = sent;
-	while (m > g->members && m[-1].confirmed < m->confirmed) {
+	while (m > l->members && m[-1].confirmed < m->confirmed) {
 		struct supporter earlier = m[-1];
 
 		m[-1] = *m;
@@ -392,6 +312,8 @@
 /* Fills the next ask and counts the own confirmation. */
 static bool send_ask(struct lease *l, clk_ms now, clk_ms utc, struct lease_ask *ask)
 {
+	struct supporter *own;
+
 	if (l->outbid) {
 		l->ballot = next_ballot(l, utc);
 		l->outbid = false;
@@ -401,19 +323,19 @@
 	}
 	*ask = (struct lease_ask){
 		.ballot = l->ballot,
-		.cell_version = larger(l->cell.version, l->next.version),
+		.cell_version = l->version,
 		.sent = now,
 		.takeover = l->phase == LEASE_CANDIDATE,
 	};
 	l->last_sent = now;
 	/* A candidate asks twice as often: a lost ask costs unavailable time. */
 	l->next_ask = now + (ask->takeover ? l->opts.renew_every / 2 : l->opts.renew_every);
-	for (size_t i = 0; i < l->cell.n; i++)
-		l->cell.members[i].refused_for = 0;
-	if (may_confirm(l, now, l->self, ask)) {
+	for (size_t i = 0; i < l->n; i++)
+		l->members[i].refused_for = 0;
+	own = find_member(l, l->self);
+	if (own && may_confirm(l, now, l->self, ask)) {
 		confirm(l, now, l->self, ask);
-		note_confirmed(&l->cell, l->self, now);
-		note_confirmed(&l->next, l->self, now);
+		note_confirmed(l, own, now);
 		evaluate(l, now);
 	}
 	return true;
@@ -423,7 +345,7 @@
 {
 	*ask = (struct lease_ask){
 		.ballot = l->ballot,
-		.cell_version = larger(l->cell.version, l->next.version),
+		.cell_version = l->version,
 		.sent = now,
 		.release = true,
 	};
@@ -434,15 +356,7 @@
 
 static bool may_try(const struct lease *l)
 {
-	return l->may_hold && l->cell.has_self && l->cell.version >= l->known_version;
-}
-
-static bool may_renew(const struct lease *l)
-{
-	if (may_try(l))
-		return true;
-	return l->may_hold && l->cell.has_self && l->next.has_self &&
-	       l->next.version >= l->known_version;
+	return l->may_hold && l->is_member && l->version >= l->known_version;
 }
 
 static bool tick_candidate(struct lease *l, clk_ms now, clk_ms utc, struct lease_ask *ask)
@@ -454,7 +368,7 @@
 	if (now - l->attempt_since >= l->opts.duration / 2) {
 		l->give_up = true;
 		/* Every other member gets its turn first. */
-		l->wait_until = now + (clk_ms)l->cell.n * l->opts.rank_delay;
+		l->wait_until = now + (clk_ms)l->n * l->opts.rank_delay;
 	}
 	if (l->give_up || !may_try(l))
 		return send_release(l, now, ask);
@@ -465,7 +379,7 @@
 
 static bool start_attempt(struct lease *l, clk_ms now, clk_ms utc, struct lease_ask *ask)
 {
-	clk_ms turn = later(l->free_at, l->wait_until) + (clk_ms)l->cell.rank * l->opts.rank_delay;
+	clk_ms turn = later(l->free_at, l->wait_until) + (clk_ms)l->rank * l->opts.rank_delay;
 
 	if (!may_try(l) || now < l->started + l->opts.duration || supports_other(l, now) ||
 	    now < turn)
@@ -487,7 +401,7 @@
 	}
 	switch (l->phase) {
 	case LEASE_HOLDER:
-		if (!may_renew(l) || now < l->next_ask)
+		if (!may_try(l) || now < l->next_ask)
 			return false;
 		return send_ask(l, now, utc, ask);
 	case LEASE_CANDIDATE:
@@ -540,43 +454,41 @@
  */
 static void yield_if_beaten(struct lease *l)
 {
-	const struct group *g = &l->cell;
-	size_t majority = member_majority(g->n);
+	size_t majority = member_majority(l->n);
 	size_t refused = 0;
 
-	for (size_t i = 0; i < g->n; i++)
-		refused += g->members[i].refused_for != 0;
-	if (refused <= g->n - majority)
+	for (size_t i = 0; i < l->n; i++)
+		refused += l->members[i].refused_for != 0;
+	if (refused <= l->n - majority)
 		return;
-	for (size_t i = 0; i < g->n; i++) {
-		uint64_t rival = g->members[i].refused_for;
-		const struct supporter *other = rival ? find_member(g, rival) : NULL;
+	for (size_t i = 0; i < l->n; i++) {
+		uint64_t rival = l->members[i].refused_for;
+		const struct supporter *other = rival ? find_member(l, rival) : NULL;
 		size_t votes = 0;
 
 		if (!rival)
 			continue;
-		for (size_t j = 0; j < g->n; j++)
-			votes += g->members[j].refused_for == rival;
-		if (!other || other->rank < g->rank || votes >= majority) {
+		for (size_t j = 0; j < l->n; j++)
+			votes += l->members[j].refused_for == rival;
+		if (!other || other->rank < l->rank || votes >= majority) {
 			l->give_up = true;
 			return;
 		}
 	}
 }
 
-static void on_refusal(struct lease *l, clk_ms now, uint64_t from, const struct lease_reply *reply)
+static void on_refusal(struct lease *l, clk_ms now, struct supporter *m,
+		       const struct lease_reply *reply)
 {
-	struct supporter *m = find_member(&l->cell, from);
 	bool other = reply->holder && reply->holder != l->self;
 
 	if (other && l->phase != LEASE_HOLDER)
 		note_told(l, now, reply->holder, reply->remaining);
-	if (l->phase == LEASE_NONE || reply->sent < l->attempt_since ||
-	    (!m && !find_member(&l->next, from)))
+	if (l->phase == LEASE_NONE || !m || reply->sent < l->attempt_since)
 		return;
 	if (reply->ballot >= l->ballot && reply->holder != l->self)
 		l->outbid = true;
-	if (l->phase != LEASE_CANDIDATE || !m)
+	if (l->phase != LEASE_CANDIDATE)
 		return;
 	if (other) {
 		clk_ms again = later(now + reply->remaining + 1, l->last_sent + l->opts.rank_delay);
@@ -590,26 +502,23 @@
 
 void lease_on_reply(struct lease *l, clk_ms now, uint64_t from, const struct lease_reply *reply)
 {
+	struct supporter *m = find_member(l, from);
 	uint64_t lowest = l->phase == LEASE_HOLDER ? l->number : l->ballot;
-	clk_ms sent = reply->sent;
 
 	lease_note_version(l, reply->cell_version);
 	l->reported = larger(l->reported, reply->ballot);
 	if (!reply->granted) {
-		on_refusal(l, now, from, reply);
+		on_refusal(l, now, m, reply);
 		return;
 	}
-	if (l->phase == LEASE_NONE || l->give_up || reply->sent > now)
+	if (l->phase == LEASE_NONE || l->give_up || !m || reply->sent > now)
 		return;
 	/* A lease that ran out is lost; only a new attempt with a new number may win it again. */
 	if (l->phase == LEASE_HOLDER && !is_held_by_clock(l, now))
 		return;
 	if ((reply->ballot < lowest || reply->ballot > l->ballot) && !MUTANT(late_reply_counted))
 		return;
-	if (MUTANT(count_from_reply))
-		sent = now;
-	note_confirmed(&l->cell, from, sent);
-	note_confirmed(&l->next, from, sent);
+	note_confirmed(l, m, MUTANT(count_from_reply) ? now : reply->sent);
 	evaluate(l, now);
 }
 
--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -64,16 +64,9 @@
 void lease_set_may_hold(struct lease *l, bool may_hold);
 
 /*
- * Members of a newer version that was read but may not take effect yet; to be called for each
- * version before this node reports that it knows it. Asks under an older version are refused from
- * now on. A holder that is a member of both versions keeps its lease through the change if
- * majorities of both confirm it, so until lease_set_members() is called with this version its asks
- * are to be sent to the members of both.
+ * A newer cell version was seen but may not take effect yet: asks under an older version are
+ * refused from now on.
  */
-void lease_set_next_members(struct lease *l, uint64_t cell_version, const uint64_t *members,
-			    size_t n);
-
-/* The same without the members, for a version that was only heard of. */
 void lease_note_version(struct lease *l, uint64_t cell_version);
 
 /*
