--- a/src/process/broker.c
+++ b/src/process/broker.c
@@ -159,7 +159,7 @@
 {
 	struct waiting *w = waiting_find(b, node, ask);
 
-	if (w)
+	if (w && !MUTANT(broker_cancel_ignored))
 		waiting_drop(b, w);
 	refusal_drop(b, node, ask);
 }
--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -115,9 +115,10 @@
 
 /*
  * Adds an upstream or changes it. A limit that falls below the slots in use stops new grants. The
- * state of a new upstream is taken as given; later, WARM raises nothing: an upstream that is cold
- * stays so until it has completed enough requests, and one that was draining, out or lost returns
- * cold. COLD for one that is cold already does not start its limit anew; see broker_note_cold().
+ * state of a new upstream (also one that was removed before) is taken as given; later, WARM raises
+ * nothing: an upstream that is cold stays so until it has completed enough requests, and one that
+ * was draining, out or lost returns cold. COLD for one that is cold already does not start its
+ * limit anew; see broker_note_cold().
  */
 void broker_set_upstream(struct broker *b, clk_ms now, const struct broker_upstream *u);
 /*
@@ -151,12 +152,16 @@
 /* Takeover: a slot that another broker lent and an entry still uses. */
 void broker_adopt_slot(struct broker *b, clk_ms now, const struct broker_slot_view *slot);
 /*
- * Takeover: members did not report, so unknown slots may be in use until `until`. Until then cold
- * upstreams get nothing. broker_slots_in_use() counts one more for every partition until
- * broker_clear_unknown(), because a paused entry may send later than any deadline.
+ * Takeover: members did not report, or left the cell lately, so unknown slots may be in use until
+ * `until`. Until then cold upstreams get nothing. broker_slots_in_use() counts one more for every
+ * partition until both that time and broker_clear_unknown(): a paused entry may send later than any
+ * deadline, and the requests of an entry that is gone may run until theirs.
  */
 void broker_hold_unknown(struct broker *b, clk_ms until);
-/* The missing members have reported or are known to be gone. */
+/*
+ * The missing members have reported or are known to be gone. If all have reported, call
+ * broker_hold_unknown() with the present time before it; the hold then ends with the next tick.
+ */
 void broker_clear_unknown(struct broker *b);
 
 void broker_ask(struct broker *b, clk_ms now, const struct broker_ask *ask);
--- a/src/process/broker_budget.c
+++ b/src/process/broker_budget.c
@@ -34,7 +34,8 @@
 
 void budget_return(struct broker *b)
 {
-	b->tokens += TOKEN;
+	if (!MUTANT(broker_no_refund))
+		b->tokens += TOKEN;
 }
 
 clk_ms hedge_delay(const struct broker *b, const struct broker_ask *ask)
@@ -56,12 +57,13 @@
 	struct upstream *u;
 
 	*reason = BROKER_REFUSE_NO_UPSTREAM;
-	if (!b->opts.hedging || !ask->idempotent || !first || first->hedged ||
-	    !first->hedge_after || first->node != ask->node)
+	if (!b->opts.hedging || !ask->idempotent || !first ||
+	    (first->hedged && !MUTANT(broker_hedge_twice)) || !first->hedge_after ||
+	    first->node != ask->node)
 		return NULL;
 	if (now - first->lent < first->hedge_after && !MUTANT(broker_hedge_early))
 		return NULL;
-	if (b->common.len > 0 && !MUTANT(broker_hedge_over_queue))
+	if (b->common.len > 0)
 		return NULL;
 	u = upstream_pick(b, now, MUTANT(broker_hedge_same_upstream) ? NULL : first->upstream);
 	if (!u || upstream_is_straggler(b, now, u))
--- a/src/process/broker_priv.h
+++ b/src/process/broker_priv.h
@@ -86,7 +86,6 @@
 struct upstream {
 	uint32_t num;
 	bool present; /* false: removed or not yet configured, kept for its slots */
-	bool removed; /* was present before */
 	struct broker_upstream conf;
 	uint32_t in_use;
 	uint32_t records; /* slots of any kind that refer to this struct */
@@ -133,7 +132,8 @@
 	struct upstream *upstreams;
 	struct owner *owners; /* by partition */
 	struct hot_key *hot;
-	bool unknown; /* members did not report their slots */
+	bool unknown;	      /* members did not report their slots */
+	bool unknown_cleared; /* they are accounted for from `unknown_until` on */
 	clk_ms unknown_until;
 	uint32_t tokens; /* retry budget in hundredths of a request */
 	struct window times;
--- a/src/process/broker_queue.c
+++ b/src/process/broker_queue.c
@@ -64,6 +64,8 @@
 	w->ask = *ask;
 	w->seq = b->next_seq++;
 	w->give_up = ask->deadline - reserve;
+	if (MUTANT(broker_grant_after_deadline))
+		w->give_up = ask->deadline + 1;
 	if (w->give_up < b->next_give_up)
 		b->next_give_up = w->give_up;
 	HASH_ADD(hh, b->waiting, key, sizeof(w->key), w);
--- a/src/process/broker_slot.c
+++ b/src/process/broker_slot.c
@@ -49,6 +49,8 @@
 	s->key_hash = ask->key_hash;
 	s->lent = now;
 	s->cold_run = u->cold_run;
+	if (MUTANT(broker_free_at_send_by))
+		s->free_at = b->next_slot_free = now + b->opts.send_within;
 	s->light = u->in_use <= (half ? half : 1);
 	return s;
 }
@@ -78,6 +80,8 @@
 	struct slot *s;
 	struct slot *tmp;
 
+	if (b->unknown_cleared && now >= b->unknown_until)
+		b->unknown = false;
 	if (now < b->next_slot_free)
 		return;
 	b->next_slot_free = CLK_NEVER;
@@ -120,10 +124,13 @@
 size_t broker_slots_in_use(const struct broker *b, uint32_t partition)
 {
 	const struct slot *s;
-	size_t n = b->unknown ? 1 : 0;
+	size_t n = b->unknown && !MUTANT(broker_move_despite_unknown) ? 1 : 0;
 
-	for (s = b->slots; s; s = s->hh.next)
+	for (s = b->slots; s; s = s->hh.next) {
+		if (s->overdue && MUTANT(broker_forget_overdue))
+			continue;
 		n += !s->settled && !s->hot && s->partition == partition;
+	}
 	return n;
 }
 
@@ -133,8 +140,11 @@
 	const struct slot *s;
 	size_t n = b->unknown ? 1 : 0;
 
-	for (s = b->slots; s; s = s->hh.next)
+	for (s = b->slots; s; s = s->hh.next) {
+		if (!s->hot && MUTANT(broker_forget_split))
+			continue;
 		n += !s->settled && (s->adopted || s->key_hash == key_hash);
+	}
 	return n;
 }
 
@@ -162,12 +172,13 @@
 void broker_hold_unknown(struct broker *b, clk_ms until)
 {
 	b->unknown = true;
+	b->unknown_cleared = false;
 	b->unknown_until = until;
 }
 
 void broker_clear_unknown(struct broker *b)
 {
-	b->unknown = false;
+	b->unknown_cleared = true;
 }
 
 void broker_node_gone(struct broker *b, clk_ms now, uint64_t node)
--- a/src/process/broker_upstream.c
+++ b/src/process/broker_upstream.c
@@ -94,15 +94,15 @@
 void broker_set_upstream(struct broker *b, clk_ms now, const struct broker_upstream *conf)
 {
 	struct upstream *u = upstream_get(b, conf->num);
-	bool was_present = u->present || u->removed;
-	bool reroute = !u->present;
+	bool was_present = u->present;
 	enum broker_upstream_state before = u->conf.state;
 
 	u->present = true;
 	u->conf = *conf;
 	if (conf->state == BROKER_COLD && before != BROKER_COLD) {
 		upstream_turn_cold(u);
-	} else if (conf->state == BROKER_WARM && was_present && before != BROKER_WARM) {
+	} else if (conf->state == BROKER_WARM && was_present && before != BROKER_WARM &&
+		   !MUTANT(broker_return_warm)) {
 		/*
 		 * Only completed requests raise a limit. An upstream that was away may have
 		 * restarted unseen, so it starts cold as well.
@@ -111,7 +111,7 @@
 		if (before != BROKER_COLD)
 			upstream_turn_cold(u);
 	}
-	if (reroute)
+	if (!was_present)
 		waiting_route_all(b);
 }
 
@@ -124,7 +124,6 @@
 	if (!u)
 		return;
 	u->present = false;
-	u->removed = true;
 	u->conf.state = BROKER_OUT;
 	waiting_route_all(b);
 	u->records++; /* keeps `u` during the loop */
@@ -249,7 +248,7 @@
 		u->slow_run = 0;
 		return;
 	}
-	if (++u->slow_run >= SLOW_RUN)
+	if (++u->slow_run >= SLOW_RUN && !MUTANT(broker_ignore_slow))
 		upstream_turn_cold(u);
 }
 
@@ -259,7 +258,7 @@
 	u->failing = false;
 	u->completed++;
 	/* Only requests of this cold start prove anything about it. */
-	if (!s->adopted && s->cold_run == u->cold_run) {
+	if (!s->adopted && (s->cold_run == u->cold_run || MUTANT(broker_ramp_by_old_slots))) {
 		u->cold_completed++;
 		if (u->conf.state == BROKER_COLD && cold_limit(b, u) == u->conf.slots)
 			u->conf.state = BROKER_WARM;
@@ -280,13 +279,15 @@
 		learn_completed(b, now, u, s, service_ms);
 		break;
 	case BROKER_DONE_SHED:
-		upstream_turn_cold(u);
+		if (!MUTANT(broker_ignore_failure))
+			upstream_turn_cold(u);
 		break;
 	case BROKER_DONE_CONNECT:
 	case BROKER_DONE_BROKE:
 		/* It may have crashed; the new process would be cold. */
 		u->failing = true;
-		upstream_turn_cold(u);
+		if (!MUTANT(broker_ignore_failure))
+			upstream_turn_cold(u);
 		break;
 	case BROKER_DONE_NOT_RUN:
 		u->failing = true;
--- a/src/process/once.h
+++ b/src/process/once.h
@@ -31,10 +31,17 @@
 
 /* Starts a record with the number of confirmations needed; the caller then sends RECORD. */
 void once_begin(struct once *o, clk_ms now, uint64_t hash, uint32_t confirmations_needed);
+/*
+ * The caller passes only confirmations of the record that it began last for this hash: one for an
+ * earlier record that was removed since ("not run") does not show that the member holds this one.
+ */
 /* Counts the confirmation of `node` once; true when exactly this one made the majority. */
 bool once_confirm(struct once *o, clk_ms now, uint64_t hash, uint64_t node);
 
-/* Outcome of the request; ONCE_NEW removes the record (the upstream truly did not run it). */
+/*
+ * Outcome of the request, reported once for each attempt: the caller drops reports for slots that
+ * the broker does not know. ONCE_NEW removes the record (the upstream truly did not run it).
+ */
 void once_finish(struct once *o, clk_ms now, uint64_t hash, enum once_state state);
 
 /*
--- /dev/null
+++ b/test/unit_quarantine.c
@@ -0,0 +1,100 @@
+/* Crash counts per fingerprint: quarantine, one attempt at a time, lift, copies, window. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "process/quarantine.h"
+
+/* Guards against a request that crashes one upstream after the other. */
+START_TEST(second_crash_quarantines_only_its_fingerprint)
+{
+	struct quarantine *q = quarantine_create(1000);
+
+	ck_assert_uint_eq(quarantine_crash(q, 1, 7), 1);
+	ck_assert(!quarantine_blocks(q, 1, 7));
+	ck_assert_uint_eq(quarantine_crash(q, 2, 7), 2);
+	ck_assert(quarantine_blocks(q, 2, 7));
+	ck_assert(!quarantine_may_send(q, 2, 7));
+	ck_assert(!quarantine_blocks(q, 2, 8));
+	ck_assert(quarantine_may_send(q, 2, 8));
+	quarantine_destroy(q);
+}
+END_TEST
+
+/* Guards against two copies of a suspect request crashing two upstreams at once. */
+START_TEST(suspect_is_sent_one_at_a_time)
+{
+	struct quarantine *q = quarantine_create(1000);
+
+	quarantine_crash(q, 1, 7);
+	ck_assert(quarantine_may_send(q, 1, 7));
+	ck_assert(!quarantine_may_send(q, 1, 7));
+	quarantine_returned(q, 2, 7);
+	ck_assert(quarantine_may_send(q, 2, 7));
+	quarantine_destroy(q);
+}
+END_TEST
+
+/* Guards against an old lift in a later configuration releasing a new quarantine. */
+START_TEST(lift_acts_once_per_version)
+{
+	struct quarantine *q = quarantine_create(1000);
+
+	quarantine_crash(q, 1, 7);
+	quarantine_crash(q, 1, 7);
+	quarantine_lift(q, 7, 5);
+	ck_assert(!quarantine_blocks(q, 2, 7));
+	quarantine_crash(q, 3, 7);
+	quarantine_crash(q, 3, 7);
+	quarantine_lift(q, 7, 5);
+	ck_assert(quarantine_blocks(q, 3, 7));
+	quarantine_tick(q, 5000);
+	quarantine_crash(q, 5000, 7);
+	quarantine_crash(q, 5000, 7);
+	quarantine_lift(q, 7, 5);
+	ck_assert(quarantine_blocks(q, 5000, 7));
+	quarantine_lift(q, 7, 6);
+	ck_assert(!quarantine_blocks(q, 5000, 7));
+	quarantine_destroy(q);
+}
+END_TEST
+
+static void count(void *data, uint64_t fingerprint, uint32_t crashes, clk_ms age)
+{
+	*(uint32_t *)data += crashes;
+}
+
+/* Guards against a new broker forgetting crashes, and against counts kept for ever. */
+START_TEST(copies_take_the_larger_count_and_end_with_the_window)
+{
+	struct quarantine *q = quarantine_create(1000);
+	uint32_t seen = 0;
+
+	quarantine_put(q, 1, 7, 2);
+	quarantine_put(q, 1, 7, 1);
+	ck_assert(quarantine_blocks(q, 1000, 7));
+	ck_assert(!quarantine_blocks(q, 1001, 7));
+	quarantine_each(q, 1000, count, &seen);
+	ck_assert_uint_eq(seen, 2);
+	quarantine_tick(q, 1001);
+	ck_assert_uint_eq(quarantine_crash(q, 1001, 7), 1);
+	quarantine_destroy(q);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("quarantine");
+	TCase *tc = tcase_create("quarantine");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_test(tc, second_crash_quarantines_only_its_fingerprint);
+	tcase_add_test(tc, suspect_is_sent_one_at_a_time);
+	tcase_add_test(tc, lift_acts_once_per_version);
+	tcase_add_test(tc, copies_take_the_larger_count_and_end_with_the_window);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
