bench: an entry asks again for a refused hedge

Most hedges at load 0.7 are refused because no slot is free at that moment, although the budget is not used up. The modelled entry now asks again half a hedge delay later, until it has its answer.

The router's entry has to do the same.

--- a/bench/bench_tail.c
+++ b/bench/bench_tail.c
@@ -18,6 +18,7 @@
 #define SLOW_FACTOR 10.0
 #define SLOW_FOR 0.5
 #define SLOW_EVERY 10.0
+#define HEDGE_AGAIN 0.5 /* of the first delay: wait of an entry after a refused hedge */
 #define REQUESTS 400000
 #define WARM_UP 20000	  /* requests at the beginning that are not counted */
 #define DEADLINE_MS 60000 /* no refusals: every policy serves the same requests */
@@ -332,11 +333,15 @@
 					broker_refusal_name(d.reason));
 				exit(1);
 			}
+			/* No slot was free: the entry asks again a little later. */
+			push(m, m->now + hop(m, r) + r->hedge_after * HEDGE_AGAIN, HEDGE_TIME, id,
+			     0);
 			continue;
 		}
 		r->slot[copy] = d.slot;
 		r->upstream[copy] = d.upstream - 1;
-		r->hedge_after = (double)d.hedge_after / 1000;
+		if (copy == 0)
+			r->hedge_after = (double)d.hedge_after / 1000;
 		push(m, m->now + hop(m, r), GRANT, id, copy);
 	}
 }
