--- /dev/null
+++ b/bench/bench_admission.c
@@ -0,0 +1,128 @@
+/*
+ * Processor time of one admission (ask, decision, return of the slot) by the number of upstreams,
+ * and of one request id record by the number kept. Pure modules, no network.
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "process/broker.h"
+#include "process/once.h"
+
+#define ROUNDS 200000
+#define SLOTS 4
+
+static double cpu_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
+}
+
+static size_t heap_bytes(void)
+{
+	return mallinfo2().uordblks;
+}
+
+static struct broker *make_broker(bool keyed, uint32_t upstreams, uint32_t partitions)
+{
+	struct broker_options opts = broker_defaults;
+	struct broker *b;
+
+	opts.keyed = keyed;
+	opts.partitions = partitions;
+	b = broker_create(&opts, 1, 7);
+	for (uint32_t i = 1; i <= upstreams; i++) {
+		struct broker_upstream u = {
+			.num = i, .slots = SLOTS, .cold_limit = 1, .state = BROKER_WARM};
+
+		broker_set_upstream(b, 0, &u);
+	}
+	for (uint32_t p = 0; keyed && p < partitions; p++)
+		broker_set_owner(b, 0, p, p % upstreams + 1, 1);
+	return b;
+}
+
+/* Half of the slots stay lent, so that the choice of an upstream is not trivial. */
+static double admission_ns(struct broker *b, uint32_t partitions, uint32_t upstreams)
+{
+	size_t held = (size_t)upstreams * SLOTS / 2;
+	uint64_t *lent = calloc(held, sizeof(*lent));
+	size_t at = 0;
+	uint64_t id = 1;
+	clk_ms now = 0;
+	double begin = 0;
+
+	for (size_t i = 0; i < held + ROUNDS; i++) {
+		struct broker_ask ask = {
+			.node = 1, .id = id, .idempotent = true, .deadline = now + 2000};
+		struct broker_decision d;
+
+		if (i == held)
+			begin = cpu_ns();
+		ask.partition = (uint32_t)(id % partitions);
+		ask.key_hash = id;
+		id++;
+		if (lent[at])
+			broker_done(b, now, lent[at], BROKER_DONE_OK, 5);
+		lent[at] = 0;
+		broker_ask(b, now, &ask);
+		while (broker_next(b, now, &d)) {
+			if (d.kind == BROKER_GRANT)
+				lent[at] = d.slot;
+		}
+		at = (at + 1) % held;
+		now = (clk_ms)(i / 10);
+	}
+	free(lent);
+	return (cpu_ns() - begin) / ROUNDS;
+}
+
+static void admissions(const char *name, bool keyed)
+{
+	static const uint32_t sizes[] = {8, 32, 128, 512};
+
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		uint32_t partitions = keyed ? 1024 : 1;
+		size_t before = heap_bytes();
+		struct broker *b = make_broker(keyed, sizes[i], partitions);
+		size_t heap = heap_bytes() - before;
+
+		printf("%-28s %10u upstreams %10.0f ns/request %10zu B\n", name, sizes[i],
+		       admission_ns(b, partitions, sizes[i]), heap);
+		broker_destroy(b);
+	}
+}
+
+static void records(void)
+{
+	static const size_t sizes[] = {1000, 10000, 100000};
+
+	for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		size_t before = heap_bytes();
+		struct once *o = once_create(ONCE_WINDOW_MS);
+		double begin = cpu_ns();
+		size_t heap;
+
+		for (uint64_t h = 1; h <= sizes[i]; h++) {
+			once_begin(o, 0, h * 0x9e3779b97f4a7c15ULL, 1);
+			once_confirm(o, 0, h * 0x9e3779b97f4a7c15ULL, 2);
+			once_finish(o, 0, h * 0x9e3779b97f4a7c15ULL, ONCE_COMPLETED);
+		}
+		heap = heap_bytes() - before;
+		printf("%-28s %10zu records   %10.0f ns/record  %10.0f B/record\n",
+		       "request id record", sizes[i], (cpu_ns() - begin) / (double)sizes[i],
+		       (double)heap / (double)sizes[i]);
+		once_destroy(o);
+	}
+}
+
+int main(void)
+{
+	admissions("admission, one queue", false);
+	admissions("admission, divided by key", true);
+	records();
+	return 0;
+}
