--- a/src/process/svc.h
+++ b/src/process/svc.h
@@ -78,6 +78,7 @@
 	size_t n_reports;
 	bool reports_overflow;
 	bool unknown_slots;
+	uint64_t record_serial;
 	struct svc_pending *pending; /* asks that wait for their request id record */
 
 	/* Slots this router's entries use, for reports and for DONE. */
--- a/src/process/svc_record.c
+++ b/src/process/svc_record.c
@@ -10,7 +10,8 @@
 struct svc_pending {
 	struct svc_pending *next;
 	struct broker_ask ask;
-	bool asked; /* the record is held by a majority and the broker has the ask */
+	uint64_t serial; /* of its RECORD: an ack of an earlier record with this hash is void */
+	bool asked;	 /* the record is held by a majority and the broker has the ask */
 };
 
 static struct svc_pending **find_pending(struct svc *s, uint64_t node, uint64_t ask)
@@ -31,7 +32,7 @@
 }
 
 static void send_record(struct svc *s, Bc__Record__Kind kind, uint64_t hash, uint32_t state,
-			clk_ms age)
+			clk_ms age, uint64_t serial)
 {
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__Record rec = BC__RECORD__INIT;
@@ -41,6 +42,7 @@
 	rec.hash = hash;
 	rec.state = state;
 	rec.age_ms = (uint32_t)age;
+	rec.serial = serial;
 	frame.body_case = BC__FRAME__BODY_RECORD;
 	frame.record = &rec;
 	node_broadcast(s->node, &frame);
@@ -49,17 +51,51 @@
 /* Tells the members the state of a record; ONCE_NEW removes their copy. */
 static void broadcast(struct svc *s, uint64_t hash, enum once_state state)
 {
-	send_record(s, BC__RECORD__KIND__REQUEST, hash, state, 0);
+	send_record(s, BC__RECORD__KIND__REQUEST, hash, state, 0, 0);
 }
 
 static void resend_once(void *data, uint64_t hash, enum once_state state, clk_ms age)
 {
-	send_record(data, BC__RECORD__KIND__REQUEST, hash, state, age);
+	send_record(data, BC__RECORD__KIND__REQUEST, hash, state, age, 0);
 }
 
 static void resend_crash(void *data, uint64_t fingerprint, uint32_t crashes, clk_ms age)
 {
-	send_record(data, BC__RECORD__KIND__CRASH, fingerprint, crashes, age);
+	send_record(data, BC__RECORD__KIND__CRASH, fingerprint, crashes, age, 0);
+}
+
+static void forward(struct svc *s, clk_ms now, struct svc_pending *p)
+{
+	p->asked = true;
+	broker_ask(s->broker, now, &p->ask);
+}
+
+/* Starts the record of an ask with the members of this moment. */
+static void begin(struct svc *s, clk_ms now, struct svc_pending *p)
+{
+	uint32_t needed = (uint32_t)member_majority(s->node->n_members) - 1;
+
+	p->serial = ++s->record_serial;
+	once_begin(s->once, now, p->ask.request_id_hash, needed);
+	if (needed == 0)
+		forward(s, now, p);
+	else
+		send_record(s, BC__RECORD__KIND__REQUEST, p->ask.request_id_hash, ONCE_SENT, 0,
+			    p->serial);
+}
+
+/* Acks that are missing may be due from a member that has left. */
+static void begin_pending_again(struct svc *s, clk_ms now)
+{
+	struct svc_pending *next;
+
+	for (struct svc_pending *p = s->pending; p; p = next) {
+		next = p->next;
+		if (p->asked)
+			continue;
+		once_finish(s->once, now, p->ask.request_id_hash, ONCE_NEW);
+		begin(s, now, p);
+	}
 }
 
 /*
@@ -72,18 +108,12 @@
 	quarantine_each(s->quarantine, now, resend_crash, s);
 	for (struct svc_upstream *u = s->upstreams; u; u = u->next)
 		u->told_limit = 0; /* announced again on the next tick */
-}
-
-static void forward(struct svc *s, clk_ms now, struct svc_pending *p)
-{
-	p->asked = true;
-	broker_ask(s->broker, now, &p->ask);
+	begin_pending_again(s, now);
 }
 
 void svc_record_ask(struct svc *s, clk_ms now, uint64_t from, const struct broker_ask *ask)
 {
 	enum once_state state = once_lookup(s->once, now, ask->request_id_hash);
-	uint32_t needed = (uint32_t)member_majority(s->node->n_members) - 1;
 	struct svc_pending *p;
 
 	if (state != ONCE_NEW) {
@@ -94,24 +124,26 @@
 	p->ask = *ask;
 	p->next = s->pending;
 	s->pending = p;
-	once_begin(s->once, now, ask->request_id_hash, needed);
-	if (needed == 0)
-		forward(s, now, p);
-	else
-		broadcast(s, ask->request_id_hash, ONCE_SENT);
+	begin(s, now, p);
 }
 
-void svc_on_record_ack(struct svc *s, clk_ms now, uint64_t from, const Bc__RecordAck *ack)
+static struct svc_pending *find_serial(const struct svc *s, uint64_t hash, uint64_t serial)
 {
-	if (!s->broker || ack->kind != BC__RECORD__KIND__REQUEST ||
-	    !node_is_member(s->node, from) || !once_confirm(s->once, now, ack->hash, from))
-		return;
 	for (struct svc_pending *p = s->pending; p; p = p->next) {
-		if (p->ask.request_id_hash == ack->hash && !p->asked) {
-			forward(s, now, p);
-			return;
-		}
+		if (p->ask.request_id_hash == hash && p->serial == serial)
+			return p;
 	}
+	return NULL;
+}
+
+void svc_on_record_ack(struct svc *s, clk_ms now, uint64_t from, const Bc__RecordAck *ack)
+{
+	struct svc_pending *p = find_serial(s, ack->hash, ack->serial);
+
+	if (!s->broker || !p || p->asked || !node_is_member(s->node, from))
+		return;
+	if (once_confirm(s->once, now, ack->hash, from))
+		forward(s, now, p);
 }
 
 void svc_on_record(struct svc *s, clk_ms now, uint64_t from, const Bc__Record *rec)
@@ -138,6 +170,9 @@
 		return;
 	}
 	once_put(s->once, now, rec->hash, (enum once_state)rec->state, rec->age_ms);
+	if (rec->serial == 0)
+		return;
+	ack.serial = rec->serial;
 	ack.service = s->name;
 	ack.kind = BC__RECORD__KIND__REQUEST;
 	ack.hash = rec->hash;
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -3315,7 +3315,7 @@
   bc__record__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor bc__record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bc__record__field_descriptors[7] =
 {
   {
     "service",
@@ -3389,11 +3389,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "serial",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Record, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__record__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   2,   /* field[2] = hash */
   1,   /* field[1] = kind */
+  6,   /* field[6] = serial */
   0,   /* field[0] = service */
   5,   /* field[5] = start_id */
   3,   /* field[3] = state */
@@ -3401,7 +3414,7 @@
 static const ProtobufCIntRange bc__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bc__record__descriptor =
 {
@@ -3411,7 +3424,7 @@
   "Bc__Record",
   "bc",
   sizeof(Bc__Record),
-  6,
+  7,
   bc__record__field_descriptors,
   bc__record__field_indices_by_name,
   1,  bc__record__number_ranges,
@@ -4217,7 +4230,7 @@
   (ProtobufCMessageInit) bc__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__record_ack__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bc__record_ack__field_descriptors[4] =
 {
   {
     "service",
@@ -4255,16 +4268,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "serial",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__RecordAck, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__record_ack__field_indices_by_name[] = {
   2,   /* field[2] = hash */
   1,   /* field[1] = kind */
+  3,   /* field[3] = serial */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange bc__record_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bc__record_ack__descriptor =
 {
@@ -4274,7 +4300,7 @@
   "Bc__RecordAck",
   "bc",
   sizeof(Bc__RecordAck),
-  3,
+  4,
   bc__record_ack__field_descriptors,
   bc__record_ack__field_indices_by_name,
   1,  bc__record_ack__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -422,10 +422,14 @@
    * LIMIT: hash of the upstream's x-start-id
    */
   uint64_t start_id;
+  /*
+   * REQUEST: returned in the ack; 0 if no ack is needed
+   */
+  uint64_t serial;
 };
 #define BC__RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__record__descriptor) \
-    , (char *)protobuf_c_empty_string, BC__RECORD__KIND__REQUEST, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, BC__RECORD__KIND__REQUEST, 0, 0, 0, 0, 0 }
 
 
 struct  Bc__LeaseReply
@@ -583,10 +587,11 @@
   char *service;
   uint32_t kind;
   uint64_t hash;
+  uint64_t serial;
 };
 #define BC__RECORD_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__record_ack__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Bc__Header
--- a/src/request/entry_call.c
+++ b/src/request/entry_call.c
@@ -353,8 +353,10 @@
 	req.timeout = e->idempotent && e->attempt == 0 ? left / 2 : left;
 	req.n_headers = build_headers(e, g, &c->headers);
 	req.headers = c->headers;
-	if (g->hedge_after_ms && e->idempotent && !e->hedged && !c->hedge)
-		c->hedge_at = now + g->hedge_after_ms;
+	if (g->hedge_after_ms && e->idempotent && !c->hedge) {
+		c->hedge_delay = g->hedge_after_ms;
+		c->hedge_at = now + c->hedge_delay;
+	}
 	c->call = upconn_send(u->pool, &req, on_answer, c);
 }
 
@@ -452,6 +454,18 @@
 				   "try again later"},
 };
 
+/* No slot was free for the hedge: ask once more later, as long as the first call runs. */
+static void hedge_refused(struct entry *e, struct entry_call *c, clk_ms now)
+{
+	struct entry_call *first = &e->calls[0];
+
+	close_call(c);
+	if (!first->open)
+		after_unknown(e, c);
+	else
+		first->hedge_at = now + (first->hedge_delay + 1) / 2;
+}
+
 void entry_on_refuse(struct entry_list *list, clk_ms now, const Bc__Refuse *r)
 {
 	struct entry_call *c;
@@ -462,9 +476,7 @@
 		return;
 	e = c->entry;
 	if (c->hedge) {
-		close_call(c);
-		if (!e->calls[0].open)
-			after_unknown(e, c);
+		hedge_refused(e, c, now);
 		return;
 	}
 	if (r->reason == BROKER_REFUSE_NOT_BROKER || r->reason == BROKER_REFUSE_NO_CONFIG) {
@@ -489,7 +501,6 @@
 
 static void start_hedge(struct entry *e)
 {
-	e->hedged = true;
 	e->calls[0].hedge_at = 0;
 	ctr_inc(&ctr_hedges);
 	entry_ask(e, &e->calls[1]);
--- a/src/request/entry_priv.h
+++ b/src/request/entry_priv.h
@@ -30,6 +30,7 @@
 	clk_ms send_by;
 	clk_ms send_by_utc;
 	clk_ms hedge_at; /* 0: never */
+	clk_ms hedge_delay;
 	struct upconn_call *call;
 	struct upconn_header *headers;
 	UT_hash_handle hh;
@@ -62,7 +63,6 @@
 	uint32_t attempt;
 	bool maybe_ran; /* an earlier attempt may have run: "not run" would be a lie */
 	bool fresh;	/* use a new connection */
-	bool hedged;
 	uint64_t relay;
 	struct entry_call calls[2]; /* first, hedge */
 };
