--- a/src/process/lease.c
+++ b/src/process/lease.c
@@ -219,7 +219,7 @@
 	for (size_t i = 0; i < n; i++) {
 		const struct supporter *old = find_member(l, members[i]);
 
-		if (MUTANT(removed_member_counted) && !old && i < l->n)
+		if (MUTANT(removed_member_counted) && i < l->n)
 			old = &l->members[i];
 		replaced[i].node = members[i];
 		replaced[i].confirmed = old ? old->confirmed : NOT_CONFIRMED;
--- a/src/version/member.h
+++ b/src/version/member.h
@@ -66,15 +66,15 @@
 	const char *id;
 	const char *incarnation;
 	const char *ip;
+	const char *failure_domain;
+	clk_ms silent_for; /* how long nothing was heard of it */
+	clk_ms heard_for;  /* since it was heard first; for this router since its start */
 	uint32_t peer_port;
 	uint32_t caller_port;
 	uint32_t operator_port;
-	const char *failure_domain;
 	bool connected; /* exchanged frames within the last second, or is this router */
 	bool gone;
 	bool draining;
-	clk_ms silent_for; /* how long nothing was heard of it */
-	clk_ms heard_for;  /* since it was heard first; for this router since its start */
 };
 
 /*
