node: remember members that left for one request timeout; poll without a lead after 0.6 s

Cause: with one change of the members at a time the document names only the newest one that left, so a new broker forgot slots of routers that left shortly before (review). A loss that includes the lead could not be repaired within 2 s when others wait 2 s before they act. Ruled out: a list in the cell document (grows with each version).

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -312,6 +312,33 @@
 		peer_add_address(n->peers, cell->members[i]->ip, cell->members[i]->peer_port);
 }
 
+static bool has_member(const Bc__Cell *cell, const Bc__Member *m)
+{
+	for (size_t i = 0; i < cell->n_members; i++) {
+		if (strcmp(cell->members[i]->id, m->id) == 0 &&
+		    strcmp(cell->members[i]->incarnation, m->incarnation) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void note_left(struct node *n, const Bc__Cell *old, const Bc__Cell *cell)
+{
+	for (size_t i = 0; i < old->n_members; i++) {
+		const Bc__Member *m = old->members[i];
+		struct node_left *l;
+
+		if (has_member(cell, m))
+			continue;
+		l = &n->left[n->n_left++ % NODE_MAX_LEFT];
+		l->since = clk_now();
+		l->peer_port = m->peer_port;
+		snprintf(l->id, sizeof(l->id), "%s", m->id);
+		snprintf(l->incarnation, sizeof(l->incarnation), "%s", m->incarnation);
+		snprintf(l->ip, sizeof(l->ip), "%s", m->ip);
+	}
+}
+
 static bool apply_cell(struct node *n, struct str body, uint64_t version)
 {
 	Bc__Cell *cell = bc__cell__unpack(NULL, body.len, (const uint8_t *)body.ptr);
@@ -321,8 +348,10 @@
 			bc__cell__free_unpacked(cell, NULL);
 		return false;
 	}
-	if (n->cell)
+	if (n->cell) {
+		note_left(n, n->cell, cell);
 		bc__cell__free_unpacked(n->cell, NULL);
+	}
 	n->cell = cell;
 	n->cell_active = false;
 	n->cell_may_change = false;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -30,7 +30,7 @@
 #define NODE_HEARTBEATS_PER_DOCS 5
 #define NODE_LEAD_POLL_MS 500
 /* Without a known lead for this long a router polls the store itself. */
-#define NODE_NO_LEAD_MS 2000
+#define NODE_NO_LEAD_MS 600
 #define NODE_MAX_MEMBERS 64
 #define NODE_MAX_TIMEOUT_MS 10000
 #define NODE_DEFAULT_TIMEOUT_MS 2000
@@ -51,6 +51,17 @@
 	uint64_t config;
 };
 
+/* A member that left the cell; its entries may still use slots for one request timeout. */
+struct node_left {
+	clk_ms since;
+	char id[65];
+	char incarnation[17];
+	char ip[16];
+	uint32_t peer_port;
+};
+
+#define NODE_MAX_LEFT 32
+
 struct node {
 	h2o_loop_t *loop;
 	const struct settings *settings;
@@ -75,6 +86,8 @@
 	size_t n_members;
 	bool is_member;
 
+	struct node_left left[NODE_MAX_LEFT]; /* ring */
+	size_t n_left;
 	struct node_peer seen[NODE_MAX_MEMBERS * 4]; /* oldest entry is replaced */
 	size_t n_seen;
 
--- a/src/process/svc_lease.c
+++ b/src/process/svc_lease.c
@@ -204,13 +204,17 @@
 /* Whether routers that left the cell shortly before may still use slots nobody reports. */
 static bool left_members_unknown(const struct node *n, clk_ms now)
 {
-	if (!n->cell || now - n->cell_since > NODE_MAX_TIMEOUT_MS)
-		return false;
-	for (size_t i = 0; i < n->cell->n_previous; i++) {
-		const Bc__Member *m = n->cell->previous[i];
-
-		if (!node_is_member(n, member_node(m->id, m->incarnation)) &&
-		    !lead_member_gone(n->lead, now, m))
+	for (size_t i = 0; i < n->n_left && i < NODE_MAX_LEFT; i++) {
+		const struct node_left *l = &n->left[i];
+		Bc__Member m = BC__MEMBER__INIT;
+
+		m.id = (char *)l->id;
+		m.incarnation = (char *)l->incarnation;
+		m.ip = (char *)l->ip;
+		m.peer_port = l->peer_port;
+		if (now - l->since < NODE_MAX_TIMEOUT_MS &&
+		    !node_is_member(n, member_node(m.id, m.incarnation)) &&
+		    !lead_member_gone(n->lead, now, &m))
 			return true;
 	}
 	return false;
