entry: the debug log names the route of a request, not its path

It found the path, which held the key, in the logs of routers of the other region: entry_on_http logged it for each request, 421 included. It now logs the prefix of the route.

A run of homes.sh then hung at the end, in its stand-ins: cluster_end_all sent SIGTERM and then SIGCONT, and a SIGCONT that arrives while the leak checker of the ending process waits for a stop cancels that stop. Two processes were found in this state (the tracer in do_wait, the traced process running). SIGCONT now comes first, in cluster.sh and lib.sh, and cluster_end_all kills what has not ended after 20 s and reports it as a failure.

Some shellcheck directives named a path relative to the script, so shellcheck -x failed when started from the root; they name it from the root.

--- a/src/request/entry.c
+++ b/src/request/entry.c
@@ -516,5 +516,6 @@
 	if (!e->finished)
 		h->entry = e;
 	free(headers);
-	log_debug(&log, "request for %.*s", STR_ARG(in.path));
+	/* The path may contain a key, so only the route is logged. */
+	log_debug(&log, "request for route %s", e->route ? e->route->prefix : "(none)");
 }
--- a/test/scripts/deployment.sh
+++ b/test/scripts/deployment.sh
@@ -6,12 +6,12 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 CLUSTER_BIN=${BIN:-$ROOT/build/san/bin}
 CLUSTER_DIR=$(mktemp -d)
-# shellcheck source=../../tools/cluster.sh
+# shellcheck source=tools/cluster.sh
 . "$ROOT/tools/cluster.sh"
 
 finish_deployment() {
 	local code=$?
-	cluster_end_all
+	cluster_end_all || code=1
 	if grep -lE 'Sanitizer|runtime error' "$CLUSTER_DIR"/*.log >&2; then
 		grep -hE -A 20 'Sanitizer|runtime error' "$CLUSTER_DIR"/*.log >&2
 		code=1
@@ -25,7 +25,7 @@
 }
 
 begin_deployment() {
-	CLUSTER_NET=$1
+	export CLUSTER_NET=$1 # read by tools/cluster.sh
 	trap finish_deployment EXIT
 	cluster_start_all "$2" && cluster_wait_for 60 cluster_apply >/dev/null && cluster_wait_ready "$2" || exit 1
 	ENTRIES=()
--- a/test/scripts/lib.sh
+++ b/test/scripts/lib.sh
@@ -35,8 +35,9 @@
 end_all() {
 	local name
 	for name in "${!PIDS[@]}"; do
-		kill -TERM "${PIDS[$name]}" 2>/dev/null
+		# SIGCONT comes first; later it would make the leak checker of an ending process hang.
 		kill -CONT "${PIDS[$name]}" 2>/dev/null
+		kill -TERM "${PIDS[$name]}" 2>/dev/null
 	done
 	for name in "${!PIDS[@]}"; do
 		wait_gone "${PIDS[$name]}" || kill -KILL "${PIDS[$name]}" 2>/dev/null
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -4,6 +4,7 @@
 # shellcheck shell=bash disable=SC2153
 
 CLUSTER_CREDENTIAL=operator-credential-for-local-runs
+CLUSTER_LOG_LEVEL=info # debug: routers log everything they can
 declare -A CLUSTER_PID=()
 
 cluster_ip() { echo "127.$CLUSTER_NET.$1.$2"; }
@@ -31,9 +32,10 @@
 cluster_end() {
 	local pid=${CLUSTER_PID[$1]:-}
 	[ -n "$pid" ] || return 0
+	# A stopped process handles SIGTERM only after it goes on. SIGCONT comes first: later it would
+	# cancel the stop that the leak checker of an ending process waits for without limit.
+	[ "${2:-TERM}" = KILL ] || kill -CONT "$pid" 2>/dev/null || true
 	kill -"${2:-TERM}" "$pid" 2>/dev/null || true
-	# A stopped process handles the signal only after it goes on.
-	kill -CONT "$pid" 2>/dev/null || true
 	wait "$pid" 2>/dev/null
 	local code=$?
 	unset "CLUSTER_PID[$1]"
@@ -42,16 +44,24 @@
 
 cluster_signal() { kill -"$2" "${CLUSTER_PID[$1]}"; }
 
+# Ends everything; returns 1 if a program had to be killed because it did not end in 20 s.
 cluster_end_all() {
-	local name
+	local name pid code=0 end=$((SECONDS + 20))
 	for name in "${!CLUSTER_PID[@]}"; do
-		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
 		kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
 	done
 	for name in "${!CLUSTER_PID[@]}"; do
-		wait "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		pid=${CLUSTER_PID[$name]}
+		while kill -0 "$pid" 2>/dev/null && [ "$SECONDS" -lt "$end" ]; do sleep 0.02; done
+		if kill -KILL "$pid" 2>/dev/null; then
+			echo "$name did not end" >&2
+			code=1
+		fi
+		wait "$pid" 2>/dev/null || true
 		unset "CLUSTER_PID[$name]"
 	done
+	return $code
 }
 
 # Waits until a command succeeds; the limit only guards against hanging.
@@ -109,6 +119,7 @@
 		echo "objects: $(cluster_objects)"
 		echo "instances: $(cluster_instances)"
 		echo "operator_credential: $CLUSTER_CREDENTIAL"
+		echo "log_level: $CLUSTER_LOG_LEVEL"
 	} >"$CLUSTER_DIR/$region-$n.yaml"
 }
 
@@ -172,7 +183,9 @@
 	echo "  - {id: orders, keyed: false, partitions: 1, regions: [meseta, pacifico], timeout_ms: 2000, cold_step: 20}"
 	echo "routes:"
 	echo "  - {prefix: /history, service: history, idempotent: true}"
+	echo "  - {prefix: /history/pacifico, service: history, idempotent: true, home_regions: [pacifico]}"
 	echo "  - {prefix: /orders, service: orders, idempotent: false}"
+	echo "  - {prefix: /orders/pacifico, service: orders, idempotent: false, home_regions: [pacifico]}"
 	echo "  - {prefix: /orders/status, service: orders, idempotent: true}"
 	echo "accounts:"
 	echo "  - {account: clinica-pacifico, home_regions: [pacifico]}"
