--- a/src/request/opreq.c
+++ b/src/request/opreq.c
@@ -155,6 +155,24 @@
 	json_array_append_new(list, json_pack("{s:s, s:s}", "alarm", alarm, "detail", detail));
 }
 
+struct quarantine_alarms {
+	json_t *list;
+	const char *service;
+};
+
+/* `bamboocroft-ctl lift` takes the fingerprint in this form. */
+static void add_quarantine_alarm(void *data, uint64_t fingerprint, uint32_t crashes, clk_ms age)
+{
+	const struct quarantine_alarms *a = data;
+	char detail[300];
+
+	if (crashes < QUARANTINE_CRASHES)
+		return;
+	snprintf(detail, sizeof(detail), "%.200s: lift with bamboocroft-ctl lift %016" PRIx64,
+		 a->service, fingerprint);
+	add_alarm(a->list, "request-quarantined", detail);
+}
+
 /* The names are those of the checklist in docs/operators.md. */
 static json_t *status_alarms(const struct node *n, clk_ms now)
 {
@@ -167,8 +185,11 @@
 	if (!n->is_member)
 		add_alarm(list, "not-a-member", "this router is not a member of its cell");
 	for (const struct svc *s = n->services; s; s = s->next) {
+		struct quarantine_alarms quarantine = {list, s->name};
+
 		if (!svc_holder(s, now))
 			add_alarm(list, "no-broker", s->name);
+		quarantine_each(s->quarantine, now, add_quarantine_alarm, &quarantine);
 		for (const struct svc_upstream *u = s->upstreams; s->broker && u; u = u->next) {
 			if (u->usable && u->health.state == HEALTH_LOST)
 				add_alarm(list, "upstream-lost", node_upstream_id(n, u->num));
