--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -4,6 +4,7 @@
 # shellcheck shell=bash disable=SC2153
 
 CLUSTER_CREDENTIAL=operator-credential-for-local-runs
+CLUSTER_LOG_LEVEL=info # debug: routers log everything they can
 declare -A CLUSTER_PID=()
 
 cluster_ip() { echo "127.$CLUSTER_NET.$1.$2"; }
@@ -31,9 +32,10 @@
 cluster_end() {
 	local pid=${CLUSTER_PID[$1]:-}
 	[ -n "$pid" ] || return 0
+	# A stopped process handles SIGTERM only after it goes on. SIGCONT comes first: later it would
+	# cancel the stop that the leak checker of an ending process waits for without limit.
+	[ "${2:-TERM}" = KILL ] || kill -CONT "$pid" 2>/dev/null || true
 	kill -"${2:-TERM}" "$pid" 2>/dev/null || true
-	# A stopped process handles the signal only after it goes on.
-	kill -CONT "$pid" 2>/dev/null || true
 	wait "$pid" 2>/dev/null
 	local code=$?
 	unset "CLUSTER_PID[$1]"
@@ -53,8 +55,8 @@
 cluster_end_all() {
 	local name end=$((SECONDS + 30)) code=0
 	for name in "${!CLUSTER_PID[@]}"; do
-		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
 		kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
 	done
 	for name in "${!CLUSTER_PID[@]}"; do
 		while cluster_runs "${CLUSTER_PID[$name]}" && [ "$SECONDS" -lt "$end" ]; do sleep 0.05; done
@@ -124,6 +126,7 @@
 		echo "objects: $(cluster_objects)"
 		echo "instances: $(cluster_instances)"
 		echo "operator_credential: $CLUSTER_CREDENTIAL"
+		echo "log_level: $CLUSTER_LOG_LEVEL"
 	} >"$CLUSTER_DIR/$region-$n.yaml"
 }
 
@@ -187,7 +190,9 @@
 	echo "  - {id: orders, keyed: false, partitions: 1, regions: [meseta, pacifico], timeout_ms: 2000, cold_step: 20}"
 	echo "routes:"
 	echo "  - {prefix: /history, service: history, idempotent: true}"
+	echo "  - {prefix: /history/pacifico, service: history, idempotent: true, home_regions: [pacifico]}"
 	echo "  - {prefix: /orders, service: orders, idempotent: false}"
+	echo "  - {prefix: /orders/pacifico, service: orders, idempotent: false, home_regions: [pacifico]}"
 	echo "  - {prefix: /orders/status, service: orders, idempotent: true}"
 	echo "accounts:"
 	echo "  - {account: clinica-pacifico, home_regions: [pacifico]}"
