opreq: a confirm that loses a race names who changed what

test/scripts/operators.sh runs two operators with conflicting plans, a lost answer of the table service, an outage, a failure domain that leaves and returns under load, calls without the credential, and the time line of each plan. It found three faults:

- Two confirms whose writes were under way together: the loser was told "another configuration was confirmed first", without the name and the change that the design page promises.
The router now reads the row after the conflict and answers as it does to a late confirm.
- A confirm during an outage of the table service ended with 504 "not known", because the connection was accepted and the write sent before it closed.
The router now reads the row before it writes; if that fails, 503 "nothing changed" is certain.
This costs one read for each confirm.
- The time line of a plan showed only that it was confirmed.
It now shows a plan that was overtaken or not written, and each router that applied the configuration.

standin-table gets the switch drop_write_answers: drop_answers is used up by the polls of the leads, so that the lost answer was not always the write's.

cluster_end sent SIGCONT after SIGTERM to running processes as well. One run hung at its end until its time limit: standin-instances spun while the tracer of the leak sanitizer was in wait4, and no SIGSTOP was pending, since SIGCONT had discarded it. Only stopped processes now get SIGCONT.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -320,6 +320,17 @@
 	return true;
 }
 
+/* Plan that made this version of the configuration; the time line of a plan ends with these. */
+static struct str plan_of_config(const struct node *n, struct str row, uint64_t version)
+{
+	const Bc__Config *c = n->config;
+
+	if (!str_eq_cstr(row, "config") || !c || !c->n_ledger ||
+	    c->ledger[c->n_ledger - 1]->version != version)
+		return STR_NULL;
+	return str_from(c->ledger[c->n_ledger - 1]->id);
+}
+
 bool node_put_doc(struct node *n, struct str row, uint64_t version, struct str body,
 		  const char *source)
 {
@@ -342,6 +353,7 @@
 	ctr_inc(&ctr_docs);
 	ev.cause = str_from(source);
 	ev.peer = row;
+	ev.plan = plan_of_config(n, row, version);
 	event_emit(n->events, &ev);
 	node_heartbeat(n, clk_now());
 	return true;
--- a/src/request/opreq.c
+++ b/src/request/opreq.c
@@ -345,19 +345,25 @@
 
 /*
  * A confirmation whose write is under way. It ends when both the write has a result and the
- * operator's request was disposed of, in either order.
+ * operator's request was disposed of, in either order. The row is read before the write, and after
+ * a conflict before the answer, which names who changed what.
  */
 struct confirm {
 	struct node *node;
 	h2o_req_t *req; /* NULL once the connection is gone */
-	bool written;
+	bool finished;
 	uint8_t *body;
 	size_t len;
+	json_t *root;	  /* what the operator sent */
+	uint64_t version; /* that the plan was made from */
 	char plan[17];
 };
 
+static void on_confirm(struct node *n, h2o_req_t *req, const json_t *root);
+
 static void free_confirm(struct confirm *c)
 {
+	json_decref(c->root);
 	free(c->body);
 	free(c);
 }
@@ -367,7 +373,7 @@
 	struct confirm *c = data;
 
 	c->req = NULL;
-	if (c->written)
+	if (c->finished)
 		free_confirm(c);
 }
 
@@ -398,39 +404,120 @@
 	}
 }
 
+static void emit_plan(const struct node *n, const char *kind, const char *plan, uint64_t version)
+{
+	struct event ev = {.module = "plan", .kind = kind, .version = version};
+
+	ev.plan = str_from(plan);
+	event_emit(n->events, &ev);
+}
+
+static void emit_outcome(const struct confirm *c, enum store_write_result result, uint64_t version)
+{
+	static const char *const kinds[] = {
+		[STORE_WRITTEN] = "plan-confirmed",
+		[STORE_CONFLICT] = "plan-overtaken",
+		[STORE_NOT_WRITTEN] = "plan-not-written",
+		[STORE_UNKNOWN] = "plan-outcome-unknown",
+	};
+
+	emit_plan(c->node, kinds[result], c->plan, version);
+}
+
+static void finish_confirm(struct confirm *c, enum store_write_result result, uint64_t version)
+{
+	c->finished = true;
+	if (c->req)
+		reply_confirm(c->req, result, version);
+	else
+		free_confirm(c);
+}
+
+/* Another configuration is in the row: answers as a confirm that comes now, without a write. */
+static void answer_overtaken(struct confirm *c, uint64_t version, struct str body)
+{
+	struct node *n = c->node;
+
+	node_put_doc(n, STR_LIT("config"), version, body, "store");
+	if (!c->req || !n->config || n->config->version <= c->version) {
+		emit_outcome(c, STORE_CONFLICT, version);
+		finish_confirm(c, STORE_CONFLICT, version);
+		return;
+	}
+	c->finished = true;
+	on_confirm(n, c->req, c->root);
+}
+
+static void on_conflict_read(void *data, enum store_read_result result, uint64_t version,
+			     struct str body)
+{
+	if (result == STORE_ROW) {
+		answer_overtaken(data, version, body);
+		return;
+	}
+	emit_outcome(data, STORE_CONFLICT, version);
+	finish_confirm(data, STORE_CONFLICT, version);
+}
+
 static void on_confirm_written(void *data, enum store_write_result result, uint64_t version)
 {
 	struct confirm *c = data;
 
-	c->written = true;
 	log_info(&log, "confirmation of plan %s ended with result %d", c->plan, (int)result);
-	if (result == STORE_WRITTEN) {
-		struct event ev = {.module = "plan", .kind = "plan-confirmed", .version = version};
-
-		ev.plan = str_from(c->plan);
-		event_emit(c->node->events, &ev);
+	if (result == STORE_CONFLICT) {
+		store_read(c->node->store, STR_LIT("config"), 0, on_conflict_read, c);
+		return;
+	}
+	emit_outcome(c, result, version);
+	if (result == STORE_WRITTEN)
 		node_put_doc(c->node, STR_LIT("config"), version,
 			     (struct str){(char *)c->body, c->len}, "written");
+	finish_confirm(c, result, version);
+}
+
+static void on_row_read(void *data, enum store_read_result result, uint64_t version,
+			struct str body)
+{
+	struct confirm *c = data;
+
+	if (result == STORE_ROW) {
+		answer_overtaken(c, version, body);
+	} else if (result == STORE_READ_FAILED || !c->req) {
+		emit_outcome(c, STORE_NOT_WRITTEN, c->version);
+		finish_confirm(c, STORE_NOT_WRITTEN, c->version);
+	} else {
+		store_write(c->node->store, STR_LIT("config"), c->version,
+			    (struct str){(char *)c->body, c->len}, on_confirm_written, c);
 	}
-	if (c->req)
-		reply_confirm(c->req, result, version);
-	else
-		free_confirm(c);
 }
 
-static void write_config(struct node *n, h2o_req_t *req, const struct plan *plan)
+/*
+ * Reads the row first. A table service that accepts a write and does not answer leaves the outcome
+ * unknown; after a read that failed it is certain that nothing changed.
+ */
+static void write_config(struct node *n, h2o_req_t *req, const json_t *root,
+			 const struct plan *plan)
 {
 	struct confirm *c = calloc(1, sizeof(*c));
 
 	c->node = n;
 	c->req = req;
+	c->root = json_deep_copy(root);
+	c->version = plan->version;
 	c->len = bc__config__get_packed_size(plan->result);
 	c->body = malloc(c->len + 1);
 	bc__config__pack(plan->result, c->body);
 	snprintf(c->plan, sizeof(c->plan), "%s", plan->id.ptr);
 	listener_watch(req, on_confirm_gone, c);
-	store_write(n->store, STR_LIT("config"), plan->version,
-		    (struct str){(char *)c->body, c->len}, on_confirm_written, c);
+	store_read(n->store, STR_LIT("config"), c->version, on_row_read, c);
+}
+
+static void refuse_confirm(const struct node *n, h2o_req_t *req, const char *plan,
+			   const struct err *err)
+{
+	if (err->kind == ERR_CONFLICT)
+		emit_plan(n, "plan-overtaken", plan, n->config->version);
+	reply_error(req, status_of(err->kind), err->msg, "plan again and read the new plan");
 }
 
 static void on_confirm(struct node *n, h2o_req_t *req, const json_t *root)
@@ -444,14 +531,14 @@
 	if (done)
 		reply_done(req, "already-done", done->version);
 	else if (!make_plan(n, &arena, root, &plan, &err))
-		reply_error(req, status_of(err.kind), err.msg, "plan again and read the new plan");
+		refuse_confirm(n, req, id, &err);
 	else if (!str_eq_cstr(plan.id, id))
 		reply_error(req, 409, "this is not the plan that was shown",
 			    "plan again and confirm the plan that is printed");
 	else if (plan.refused)
 		reply_error(req, 409, "this plan is refused", plan.refusal.ptr);
 	else
-		write_config(n, req, &plan);
+		write_config(n, req, root, &plan);
 	if (plan.result)
 		config_free(plan.result);
 	arena_free(&arena);
--- a/standin/standin_table.c
+++ b/standin/standin_table.c
@@ -33,6 +33,7 @@
 	uint64_t not_modified;
 	uint64_t writes;
 	uint64_t conflicts;
+	uint64_t drop_write_answers;
 };
 
 static const struct log lg = {"table"};
@@ -146,6 +147,11 @@
 	t->writes++;
 	store_row(t, row, x, name, token);
 	add_etag(x, find_row(t, name));
+	if (t->drop_write_answers) {
+		t->drop_write_answers--;
+		exchange_drop(x);
+		return;
+	}
 	faults_answer_json(&t->faults, x, 200, json_pack("{s:b}", "written", 1));
 }
 
@@ -212,6 +218,17 @@
 			       "use POST /control, GET /counts or GET /rows");
 }
 
+static void apply_drop_write(void *data, const json_t *value)
+{
+	((struct table *)data)->drop_write_answers = (uint64_t)json_integer_value(value);
+}
+
+static const struct fault_switch own_switches[] = {
+	/* As drop_answers, but passes over reads, whose number depends on timing. */
+	{"drop_write_answers", FAULT_COUNT, apply_drop_write},
+	{NULL, FAULT_BOOL, NULL},
+};
+
 int main(int argc, char **argv)
 {
 	static struct table t;
@@ -226,6 +243,7 @@
 			       on_service, on_control, &t, &err);
 	t.faults.httpd = t.httpd;
 	t.faults.own_data = &t;
+	t.faults.own = own_switches;
 	if (t.httpd)
 		httpd_run(t.httpd);
 	else
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -27,13 +27,18 @@
 	CLUSTER_PID[$name]=$!
 }
 
+# A stopped process handles a signal only after it goes on. A running one gets no SIGCONT: it would
+# discard the SIGSTOP with which the leak sanitizer attaches at exit, and the process would hang.
+cluster_continue() {
+	if grep -q '^State:.T (stopped)' "/proc/$1/status" 2>/dev/null; then kill -CONT "$1" 2>/dev/null || true; fi
+}
+
 # Ends a program of cluster_start and waits for it. Usage: cluster_end NAME [SIGNAL]
 cluster_end() {
 	local pid=${CLUSTER_PID[$1]:-}
 	[ -n "$pid" ] || return 0
 	kill -"${2:-TERM}" "$pid" 2>/dev/null || true
-	# A stopped process handles the signal only after it goes on.
-	kill -CONT "$pid" 2>/dev/null || true
+	cluster_continue "$pid"
 	wait "$pid" 2>/dev/null
 	local code=$?
 	unset "CLUSTER_PID[$1]"
@@ -46,7 +51,7 @@
 	local name
 	for name in "${!CLUSTER_PID[@]}"; do
 		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
-		kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		cluster_continue "${CLUSTER_PID[$name]}"
 	done
 	for name in "${!CLUSTER_PID[@]}"; do
 		wait "${CLUSTER_PID[$name]}" 2>/dev/null || true
