--- a/test/scripts/deployment.sh
+++ b/test/scripts/deployment.sh
@@ -6,7 +6,7 @@
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 CLUSTER_BIN=${BIN:-$ROOT/build/san/bin}
 CLUSTER_DIR=$(mktemp -d)
-# shellcheck source=../../tools/cluster.sh
+# shellcheck source=tools/cluster.sh
 . "$ROOT/tools/cluster.sh"
 
 finish_deployment() {
