--- a/src/process/quarantine.c
+++ b/src/process/quarantine.c
@@ -11,6 +11,7 @@
 	clk_ms in_flight_until; /* 0: none */
 	uint64_t lifted_at;	/* newest configuration version that lifted it */
 	clk_ms last;		/* of the newest crash */
+	uint64_t process;	/* that ended with it */
 	UT_hash_handle hh;
 };
 
@@ -80,11 +81,15 @@
 		q->next_end = now + q->window;
 }
 
-uint32_t quarantine_crash(struct quarantine *q, clk_ms now, uint64_t fingerprint)
+uint32_t quarantine_crash(struct quarantine *q, clk_ms now, uint64_t fingerprint, uint64_t process)
 {
 	struct suspect *s = suspect_get(q, fingerprint);
+	uint32_t crashes = crashes_now(q, now, s);
 
-	set_crashes(q, now, s, crashes_now(q, now, s) + 1);
+	if (crashes > 0 && s->process == process)
+		return crashes;
+	s->process = process;
+	set_crashes(q, now, s, crashes + 1);
 	return s->crashes;
 }
 
--- a/src/process/quarantine.h
+++ b/src/process/quarantine.h
@@ -16,8 +16,11 @@
 struct quarantine *quarantine_create(clk_ms window);
 void quarantine_destroy(struct quarantine *q);
 
-/* Returns the number of crashes counted for the fingerprint, with this one. */
-uint32_t quarantine_crash(struct quarantine *q, clk_ms now, uint64_t fingerprint);
+/*
+ * Returns the number of crashes counted for the fingerprint, with this one. `process` identifies
+ * the upstream's process: when it ends, all its requests break, and equal ones count only once.
+ */
+uint32_t quarantine_crash(struct quarantine *q, clk_ms now, uint64_t fingerprint, uint64_t process);
 /* Copy from another member: the larger count wins. */
 void quarantine_put(struct quarantine *q, clk_ms now, uint64_t fingerprint, uint32_t crashes);
 bool quarantine_blocks(const struct quarantine *q, clk_ms now, uint64_t fingerprint);
--- a/src/process/svc.c
+++ b/src/process/svc.c
@@ -314,7 +314,9 @@
 
 static void count_crash(struct svc *s, clk_ms now, const Bc__Done *done)
 {
-	uint32_t crashes = quarantine_crash(s->quarantine, now, done->fingerprint);
+	const struct svc_upstream *u = svc_upstream(s, done->upstream);
+	uint64_t process = rnd_mix(done->upstream, u ? u->health.start_id : 0);
+	uint32_t crashes = quarantine_crash(s->quarantine, now, done->fingerprint, process);
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__Record rec = BC__RECORD__INIT;
 	struct event ev = {.module = "quarantine", .kind = "upstream-crashed-by-request"};
--- a/test/unit_quarantine.c
+++ b/test/unit_quarantine.c
@@ -9,9 +9,9 @@
 {
 	struct quarantine *q = quarantine_create(1000);
 
-	ck_assert_uint_eq(quarantine_crash(q, 1, 7), 1);
+	ck_assert_uint_eq(quarantine_crash(q, 1, 7, 11), 1);
 	ck_assert(!quarantine_blocks(q, 1, 7));
-	ck_assert_uint_eq(quarantine_crash(q, 2, 7), 2);
+	ck_assert_uint_eq(quarantine_crash(q, 2, 7, 12), 2);
 	ck_assert(quarantine_blocks(q, 2, 7));
 	ck_assert(!quarantine_may_send(q, 2, 7, 500));
 	ck_assert(!quarantine_blocks(q, 2, 8));
@@ -25,7 +25,7 @@
 {
 	struct quarantine *q = quarantine_create(1000);
 
-	quarantine_crash(q, 1, 7);
+	quarantine_crash(q, 1, 7, 13);
 	ck_assert(quarantine_may_send(q, 1, 7, 500));
 	ck_assert(!quarantine_may_send(q, 1, 7, 500));
 	quarantine_returned(q, 2, 7);
@@ -34,12 +34,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a quarantine of equal requests that were all in flight on an upstream that died
+ * once, whatever the reason.
+ */
+START_TEST(one_process_counts_once)
+{
+	struct quarantine *q = quarantine_create(1000);
+
+	ck_assert_uint_eq(quarantine_crash(q, 1, 7, 100), 1);
+	ck_assert_uint_eq(quarantine_crash(q, 1, 7, 100), 1);
+	ck_assert(!quarantine_blocks(q, 2, 7));
+	ck_assert_uint_eq(quarantine_crash(q, 2, 7, 101), 2);
+	ck_assert(quarantine_blocks(q, 2, 7));
+	quarantine_destroy(q);
+}
+END_TEST
+
 /* Guards against a refused ask, which returns no slot, blocking its equals for good. */
 START_TEST(turn_of_a_suspect_ends_with_its_deadline)
 {
 	struct quarantine *q = quarantine_create(1000);
 
-	quarantine_crash(q, 1, 7);
+	quarantine_crash(q, 1, 7, 14);
 	ck_assert(quarantine_may_send(q, 1, 7, 100));
 	ck_assert(!quarantine_may_send(q, 99, 7, 500));
 	ck_assert(quarantine_may_send(q, 100, 7, 500));
@@ -52,10 +69,10 @@
 {
 	struct quarantine *q = quarantine_create(1000);
 
-	quarantine_crash(q, 1, 7);
+	quarantine_crash(q, 1, 7, 15);
 	quarantine_clear(q, 7);
-	ck_assert_uint_eq(quarantine_crash(q, 2, 7), 1);
-	quarantine_crash(q, 3, 7);
+	ck_assert_uint_eq(quarantine_crash(q, 2, 7, 16), 1);
+	quarantine_crash(q, 3, 7, 17);
 	quarantine_clear(q, 7);
 	ck_assert(quarantine_blocks(q, 4, 7));
 	quarantine_destroy(q);
@@ -67,17 +84,17 @@
 {
 	struct quarantine *q = quarantine_create(1000);
 
-	quarantine_crash(q, 1, 7);
-	quarantine_crash(q, 1, 7);
+	quarantine_crash(q, 1, 7, 18);
+	quarantine_crash(q, 1, 7, 19);
 	quarantine_lift(q, 7, 5);
 	ck_assert(!quarantine_blocks(q, 2, 7));
-	quarantine_crash(q, 3, 7);
-	quarantine_crash(q, 3, 7);
+	quarantine_crash(q, 3, 7, 20);
+	quarantine_crash(q, 3, 7, 21);
 	quarantine_lift(q, 7, 5);
 	ck_assert(quarantine_blocks(q, 3, 7));
 	quarantine_tick(q, 5000);
-	quarantine_crash(q, 5000, 7);
-	quarantine_crash(q, 5000, 7);
+	quarantine_crash(q, 5000, 7, 22);
+	quarantine_crash(q, 5000, 7, 23);
 	quarantine_lift(q, 7, 5);
 	ck_assert(quarantine_blocks(q, 5000, 7));
 	quarantine_lift(q, 7, 6);
@@ -104,7 +121,7 @@
 	quarantine_each(q, 1000, count, &seen);
 	ck_assert_uint_eq(seen, 2);
 	quarantine_tick(q, 1001);
-	ck_assert_uint_eq(quarantine_crash(q, 1001, 7), 1);
+	ck_assert_uint_eq(quarantine_crash(q, 1001, 7, 24), 1);
 	quarantine_destroy(q);
 }
 END_TEST
@@ -113,6 +130,7 @@
 {
 	tcase_add_test(tc, second_crash_quarantines_only_its_fingerprint);
 	tcase_add_test(tc, suspect_is_sent_one_at_a_time);
+	tcase_add_test(tc, one_process_counts_once);
 	tcase_add_test(tc, turn_of_a_suspect_ends_with_its_deadline);
 	tcase_add_test(tc, answer_clears_a_single_crash_but_no_quarantine);
 	tcase_add_test(tc, lift_acts_once_per_version);
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -28,6 +28,12 @@
 	CLUSTER_PID[$name]=$!
 }
 
+# A stopped process handles a signal only after it goes on. A running one gets no SIGCONT: it would
+# discard the SIGSTOP with which the leak sanitizer attaches at exit, and the process would hang.
+cluster_continue() {
+	if grep -q '^State:.T (stopped)' "/proc/$1/status" 2>/dev/null; then kill -CONT "$1" 2>/dev/null || true; fi
+}
+
 # Ends a program of cluster_start and waits for it. Usage: cluster_end NAME [SIGNAL]
 cluster_end() {
 	local pid=${CLUSTER_PID[$1]:-}
@@ -55,8 +61,8 @@
 cluster_end_all() {
 	local name end=$((SECONDS + 30)) code=0
 	for name in "${!CLUSTER_PID[@]}"; do
-		kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null || true
 		kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
+		cluster_continue "${CLUSTER_PID[$name]}"
 	done
 	for name in "${!CLUSTER_PID[@]}"; do
 		while cluster_runs "${CLUSTER_PID[$name]}" && [ "$SECONDS" -lt "$end" ]; do sleep 0.05; done
