--- a/src/process/mover.c
+++ b/src/process/mover.c
@@ -564,6 +564,7 @@
 	struct mover *m = calloc(1, sizeof(*m));
 
 	m->svc = s;
+	m->serial = 1; /* 0 stands for "nothing acknowledged" */
 	s->mover = m;
 	m->n_parts = s->partitions;
 	m->parts = calloc(m->n_parts + 1, sizeof(*m->parts));
--- a/src/process/probe.c
+++ b/src/process/probe.c
@@ -68,6 +68,16 @@
 	json_decref(root);
 }
 
+static void note_grant_answer(struct svc_upstream *u, int status)
+{
+	if (status == 200 && u->probe_serial > u->grant_serial_acked)
+		u->grant_serial_acked = u->probe_serial;
+	/* A renewal of something the upstream does not hold: it restarted, or knows another fence.
+	 */
+	if (status == 409)
+		u->grant_serial_acked = 0;
+}
+
 static void on_probe_done(void *data, const struct upconn_answer *a)
 {
 	struct svc_upstream *u = data;
@@ -79,8 +89,7 @@
 		health_on_connect_failed(&u->health, now, &health_defaults, &ev);
 	} else if (a->result == UPCONN_OK && u->probe_is_grant) {
 		health_on_answer(&u->health, now, start_id_of(a), &ev);
-		if (a->status == 200 && u->probe_serial > u->grant_serial_acked)
-			u->grant_serial_acked = u->probe_serial;
+		note_grant_answer(u, a->status);
 	} else if (a->result == UPCONN_OK) {
 		on_health_answer(u, now, a, &ev);
 	}
@@ -95,6 +104,31 @@
 	return u->conf && u->conf->checks_grants && u->health.state != HEALTH_LOST;
 }
 
+/*
+ * Contents are sent only when they changed: in an idle cell the lists of partitions were most of
+ * what a broker sent.
+ */
+static void write_grant(struct svc_upstream *u, clk_ms ttl, FILE *f)
+{
+	struct svc *s = u->svc;
+	bool renew = u->grant_serial_acked == u->probe_serial;
+
+	fprintf(f,
+		"{\"service\":\"%s\",\"fence\":%" PRIu64 ",\"serial\":%" PRIu64
+		",\"assign_version\":%" PRIu64 ",\"ttl_ms\":%" PRId64 ",\"expires_utc_ms\":%" PRId64
+		",",
+		s->name, lease_number(s->lease), u->probe_serial,
+		s->assign_row ? doc_version(s->node->docs, str_from(s->assign_row)) : 0, ttl,
+		clk_utc() + ttl);
+	if (renew)
+		fputs("\"renew\":true", f);
+	else if (s->mover)
+		mover_write_grant(s->mover, u->num, f);
+	else
+		fputs("\"partitions\":[],\"hot\":[]", f);
+	fputc('}', f);
+}
+
 static void send_grant(struct svc_upstream *u, clk_ms now)
 {
 	struct svc *s = u->svc;
@@ -110,23 +144,13 @@
 		return;
 	free(u->probe_body);
 	u->probe_body = NULL;
-	f = open_memstream(&u->probe_body, &len);
-	fprintf(f,
-		"{\"service\":\"%s\",\"fence\":%" PRIu64 ",\"assign_version\":%" PRIu64
-		",\"ttl_ms\":%" PRId64 ",\"expires_utc_ms\":%" PRId64 ",",
-		s->name, lease_number(s->lease),
-		s->assign_row ? doc_version(s->node->docs, str_from(s->assign_row)) : 0, ttl,
-		clk_utc() + ttl);
-	if (s->mover)
-		mover_write_grant(s->mover, u->num, f);
-	else
-		fputs("\"partitions\":[],\"hot\":[]", f);
-	fputc('}', f);
-	fclose(f);
-	req.body = (struct str){u->probe_body, len};
 	u->probe_is_grant = true;
 	u->probe_serial = s->mover ? mover_serial(s->mover) : 1;
 	u->grant_serial_sent = u->probe_serial;
+	f = open_memstream(&u->probe_body, &len);
+	write_grant(u, ttl, f);
+	fclose(f);
+	req.body = (struct str){u->probe_body, len};
 	if (now + ttl > u->grant_until)
 		u->grant_until = now + ttl;
 	u->probe_call = upconn_send(u->probes, &req, on_probe_done, u);
--- a/standin/grants.h
+++ b/standin/grants.h
@@ -19,8 +19,9 @@
 };
 
 struct grants {
-	uint64_t fence; /* highest seen */
-	clk_ms expires; /* 0: no grant yet */
+	uint64_t fence;	 /* highest seen */
+	uint64_t serial; /* of the grant's contents within one fence */
+	clk_ms expires;	 /* 0: no grant yet */
 	uint64_t assign_version;
 	struct grant_epoch *partitions;
 	size_t n_partitions;
@@ -39,7 +40,8 @@
 	uint64_t epoch;
 };
 
-enum grant_put { GRANT_TAKEN, GRANT_OLD_FENCE, GRANT_BAD };
+/* NOT_HELD: a renewal of a grant that this upstream does not have; the whole one is needed. */
+enum grant_put { GRANT_TAKEN, GRANT_OLD_FENCE, GRANT_NOT_HELD, GRANT_BAD };
 
 /* Takes the body of `PUT /grant`; the old grant stays if it is refused. */
 enum grant_put grants_put(struct grants *g, const char *service, struct str body, clk_ms now,
--- a/standin/standin_upstream.c
+++ b/standin/standin_upstream.c
@@ -171,6 +171,7 @@
 				   json_pack("{s:I}", "fence", (json_int_t)u->grants.fence));
 		break;
 	case GRANT_OLD_FENCE:
+	case GRANT_NOT_HELD:
 		faults_answer_json(&u->faults, x, 409,
 				   json_pack("{s:I}", "fence", (json_int_t)u->grants.fence));
 		break;
