test: scripted run of cold, draining and removed upstreams

cold.sh (P3, P4, P9): ten cold upstreams under a closed-loop load of 50 requests at once, with a broker killed and an entry paused; an upstream that drains; a failure domain taken out and brought back by plan and confirm.

An upstream that turns cold without any hint may get one request too many: its refusal with x-shed is the first sign the broker can see, and requests up to the old limit are already lent. The script allows at most one there and 0 in all other phases.

The upstream got no request within 10 s of the return while the machine was busy; the load may have ended before, which was not shown.

--- /dev/null
+++ b/test/scripts/cold.sh
@@ -0,0 +1,99 @@
+#!/bin/bash
+# Cold upstreams under more load than they can handle, while a broker is killed, an entry is paused and
+# one upstream silently turns cold again; an upstream that drains; a failure domain taken out and
+# brought back. Guards against overload of cold upstreams and against new work for upstreams and
+# failure domains that leave (P3, P4, P9).
+# shellcheck source=test/scripts/deployment.sh
+. "$(dirname "$0")/deployment.sh"
+begin_deployment 95 3 --cold-limit 1 --service-ms 30
+
+LEAVE_BOUND_MS=3000 # bound of P4 and P9
+
+# count REGION SERVICE-NUMBER N NAME: one member of an upstream's counts
+count() {
+	curl -sf -m 10 "http://$(upstream_control "$1" "$2" "$3")/counts" |
+		python3 -c 'import json, sys; print(json.load(sys.stdin)[sys.argv[1]])' "$4"
+}
+
+# Sum over all upstreams; an upstream that does not answer fails the run.
+cold_violations() {
+	local region i
+	for region in meseta pacifico; do
+		for i in 1 2 3; do curl -sf -m 10 "http://$(upstream_control $region 1 $i)/counts" && echo; done
+		for i in 1 2; do curl -sf -m 10 "http://$(upstream_control $region 2 $i)/counts" && echo; done
+	done >"$CLUSTER_DIR/counts"
+	python3 -c '
+import json, sys
+counts = [json.loads(line) for line in sys.stdin if line.strip()]
+assert len(counts) == 10
+print("cold violations after %s:" % sys.argv[1], sum(c["cold_violations"] for c in counts))' "$1" <"$CLUSTER_DIR/counts"
+}
+
+ran_more_than() { [ "$(count "$1" "$2" "$3" run)" -gt "$4" ]; }
+
+# Whether the last arrival at an upstream was at most the bound after a time.
+# arrivals_stopped REGION SERVICE-NUMBER N UTC-MS
+arrivals_stopped() {
+	local last
+	last=$(count "$1" "$2" "$3" last_arrival_utc_ms)
+	if [ "$last" -le $(($4 + LEAVE_BOUND_MS)) ]; then
+		echo "new work stopped in time"
+	else
+		echo "new work $((last - $4)) ms after it should leave"
+	fi
+}
+
+plan_and_confirm() {
+	if ! cluster_ctl meseta 1 plan "$@" --out "$CLUSTER_DIR/step.json" >"$CLUSTER_DIR/step.txt" 2>&1 ||
+		! cluster_ctl meseta 1 confirm "$CLUSTER_DIR/step.json" >>"$CLUSTER_DIR/step.txt" 2>&1; then
+		cat "$CLUSTER_DIR/step.txt"
+	fi
+}
+
+run() {
+	local broker now ran before
+	start_load lookups 11 --path /history/x --concurrency 30 --keys 300 --request-ids --idempotent --seed 9
+	start_load orders 11 --path /orders/new --method POST --body-bytes 100 --concurrency 20 --request-ids --seed 10
+	sleep 1
+	cold_violations "the cold start"
+	broker=$(broker_of pacifico history)
+	if [ "$broker" = pacifico-1 ]; then broker=$(broker_of pacifico orders); fi
+	[ "$broker" = pacifico-1 ] || cluster_end "$broker" KILL
+	sleep 1.5
+	cold_violations "the loss of a broker"
+	cluster_signal meseta-3 STOP
+	sleep 1
+	cluster_signal meseta-3 CONT
+	sleep 1
+	cold_violations "the pause of an entry"
+	echo "drain an upstream"
+	cluster_fault "$(upstream_control pacifico 1 1)" '{"drain":true}'
+	now=$(count pacifico 1 1 drain_utc_ms)
+	echo "take a failure domain out"
+	plan_and_confirm take-out meseta-b
+	before=$(date +%s%3N)
+	sleep 4
+	echo "drained upstream: $(arrivals_stopped pacifico 1 1 "$now")"
+	echo "failure domain, divided by key: $(arrivals_stopped meseta 1 2 "$before")"
+	echo "failure domain, not divided by key: $(arrivals_stopped meseta 2 2 "$before")"
+	echo "bring it back"
+	ran=$(count meseta 2 2 run)
+	plan_and_confirm bring-back meseta-b
+	# A load of its own, since the first one may have ended on a slow machine.
+	start_load back 5 --path /orders/new --method POST --body-bytes 100 --concurrency 20 --request-ids --seed 11
+	if cluster_wait_for 10 ran_more_than meseta 2 2 "$ran"; then
+		echo "used again"
+	else
+		cluster_status meseta 1 >&2
+	fi
+	cold_violations "the return"
+	# Without any hint the first request too many is what tells the broker; it sheds and goes no further.
+	cluster_fault "$(upstream_control pacifico 2 1)" '{"health_state":"warm","go_cold":true}'
+	sleep 2
+	[ "$(count pacifico 2 1 cold_violations)" -le 1 ] && echo "turned cold silently: at most one request too many"
+	end_load lookups history-
+	end_load orders orders-
+	end_load back orders-
+}
+
+compare_output test/scripts/cold.expected run
