--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -27,8 +27,8 @@
 	CLUSTER_PID[$name]=$!
 }
 
-# A stopped process handles a signal only after it goes on. A running one gets no SIGCONT: it would
-# discard the SIGSTOP with which the leak sanitizer attaches at exit, and the process would hang.
+# A stopped process handles a signal only after it goes on. A running one gets no SIGCONT, since that
+# discards a pending SIGSTOP, which the leak sanitizer uses at exit.
 cluster_continue() {
 	if grep -q '^State:.T (stopped)' "/proc/$1/status" 2>/dev/null; then kill -CONT "$1" 2>/dev/null || true; fi
 }
