peer: one file each for open connections, received frames, dialling

Ruled out: accessors instead of a private header (each part needs most fields of the connection); dividing handshake and frame reading (both work on the same input buffer). Conclusion: functions were moved and renamed only; peer.h is unchanged.

--- /dev/null
+++ b/src/connection/peer_conn.c
@@ -0,0 +1,264 @@
+/* Open connections to peers: closing, the queue of frames to write, duplicates. */
+#include "connection/peer_priv.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "base/mutant.h"
+#include "connection/frame.h"
+
+/* Frames for a peer that does not read; more means that it cannot keep up. */
+#define MAX_QUEUED_BYTES (64u * 1024 * 1024)
+#define WRITE_BATCH 32
+
+static const struct log log = {"peer"};
+CTR(ctr_duplicate, "peer_duplicate_total", "Second connections to the same peer given up.");
+CTR(ctr_overflow, "peer_overflow_total", "Peer connections closed because the peer did not read.");
+CTR(ctr_frames_out, "peer_frames_sent_total", "Frames queued for peers.");
+
+struct peer_conn *peer_find_node(const struct peer_set *set, uint64_t node)
+{
+	struct peer_conn *c;
+
+	HASH_FIND(hh, set->by_node, &node, sizeof(node), c);
+	return c;
+}
+
+struct peer_conn *peer_find_current(const struct peer_set *set, const struct sockaddr_in *address)
+{
+	for (struct peer_conn *c = set->conns; c; c = c->next) {
+		if (c->current && peer_address_compare(&c->address, address) == 0)
+			return c;
+	}
+	return NULL;
+}
+
+static void drop_queue(struct peer_conn *c)
+{
+	while (c->queue) {
+		struct peer_buffer *b = c->queue;
+
+		c->queue = b->next;
+		free(b->data);
+		free(b);
+	}
+	c->queue_end = &c->queue;
+	c->queued_bytes = 0;
+	c->n_writing = 0;
+}
+
+static void leave_node(struct peer_conn *c)
+{
+	HASH_DELETE(hh, c->set->by_node, c);
+	c->current = false;
+}
+
+void peer_conn_close(struct peer_conn *c)
+{
+	struct peer_set *set = c->set;
+	struct peer_target *t;
+
+	if (c->dead)
+		return;
+	c->dead = true;
+	if (!c->hello && !c->dialled)
+		set->n_strangers--;
+	h2o_socket_close(c->sock);
+	c->sock = NULL;
+	drop_queue(c);
+	t = c->target ? c->target : peer_find_target(set, &c->address);
+	if (c->target && c->target->dialling == c)
+		c->target->dialling = NULL;
+	c->target = NULL;
+	if (t && !c->retired)
+		peer_back_off(set, t);
+	if (c->current) {
+		leave_node(c);
+		log_info(&log, "peer %s at %s is down", c->info.id, peer_address_text(&c->address));
+		if (set->handlers.on_down)
+			set->handlers.on_down(set->data, &c->info);
+	}
+}
+
+void peer_conn_free_dead(struct peer_set *set)
+{
+	for (struct peer_conn **at = &set->conns; *at;) {
+		struct peer_conn *c = *at;
+
+		if (!c->dead) {
+			at = &c->next;
+			continue;
+		}
+		*at = c->next;
+		arena_free(&c->arena);
+		free(c);
+	}
+}
+
+static void write_more(struct peer_conn *c);
+
+/* A retired connection is closed towards the peer as soon as everything has been written. */
+static void close_if_retired(struct peer_conn *c)
+{
+	if (c->retired && !c->queue)
+		shutdown(h2o_socket_get_fd(c->sock), SHUT_WR);
+}
+
+static void on_written(h2o_socket_t *sock, const char *err)
+{
+	struct peer_conn *c = sock->data;
+
+	if (err) {
+		peer_conn_close(c);
+		return;
+	}
+	while (c->n_writing) {
+		struct peer_buffer *b = c->queue;
+
+		c->queue = b->next;
+		c->queued_bytes -= b->len;
+		c->n_writing--;
+		free(b->data);
+		free(b);
+	}
+	if (!c->queue)
+		c->queue_end = &c->queue;
+	write_more(c);
+	close_if_retired(c);
+}
+
+static void write_more(struct peer_conn *c)
+{
+	h2o_iovec_t iov[WRITE_BATCH];
+	size_t n = 0;
+
+	if (!c->connected || c->n_writing || !c->queue)
+		return;
+	for (struct peer_buffer *b = c->queue; b && n < WRITE_BATCH; b = b->next)
+		iov[n++] = h2o_iovec_init(b->data, b->len);
+	c->n_writing = n;
+	h2o_socket_write(c->sock, iov, n, on_written);
+}
+
+static enum peer_cause cause_of(const Bc__Frame *frame)
+{
+	switch (frame->body_case) {
+	case BC__FRAME__BODY_RELAY:
+	case BC__FRAME__BODY_RELAY_REPLY:
+		return PEER_CAUSE_RELAY;
+	case BC__FRAME__BODY_DOC_GET:
+	case BC__FRAME__BODY_DOC:
+		return PEER_CAUSE_DOC;
+	case BC__FRAME__BODY_HEARTBEAT:
+	case BC__FRAME__BODY__NOT_SET:
+		return PEER_CAUSE_HEARTBEAT;
+	default:
+		return PEER_CAUSE_OTHER;
+	}
+}
+
+bool peer_conn_send(struct peer_conn *c, Bc__Frame *frame)
+{
+	struct peer_set *set = c->set;
+	struct peer_buffer *b;
+	uint8_t *data;
+	size_t len;
+
+	frame->sender = set->self_node;
+	frame->hlc = hlc_next(set->hlc, clk_utc());
+	data = frame_pack(frame, &len);
+	if (!data) {
+		log_error(&log, "frame for %s not sent: it is over %u bytes",
+			  peer_address_text(&c->address), FRAME_MAX_BYTES);
+		return false;
+	}
+	if (c->queued_bytes + len > MAX_QUEUED_BYTES) {
+		free(data);
+		ctr_inc(&ctr_overflow);
+		log_error(&log, "closed the connection to %s: it does not read what is sent",
+			  peer_address_text(&c->address));
+		peer_conn_close(c);
+		return false;
+	}
+	b = malloc(sizeof(*b));
+	if (!b)
+		abort();
+	*b = (struct peer_buffer){.data = data, .len = len};
+	*c->queue_end = b;
+	c->queue_end = &b->next;
+	c->queued_bytes += len;
+	c->last_sent = clk_now();
+	if (c->remote)
+		set->remote_bytes[cause_of(frame)] += len;
+	ctr_inc(&ctr_frames_out);
+	write_more(c);
+	return true;
+}
+
+/* Queued frames that are not being written yet go out on the connection that stays. */
+static void move_queue(struct peer_conn *from, struct peer_conn *to)
+{
+	struct peer_buffer **at = &from->queue;
+
+	for (size_t i = 0; i < from->n_writing; i++)
+		at = &(*at)->next;
+	if (!*at)
+		return;
+	*to->queue_end = *at;
+	to->queue_end = from->queue_end;
+	*at = NULL;
+	from->queue_end = at;
+	from->queued_bytes = 0;
+	for (struct peer_buffer *b = from->queue; b; b = b->next)
+		from->queued_bytes += b->len;
+	to->queued_bytes = 0;
+	for (struct peer_buffer *b = to->queue; b; b = b->next)
+		to->queued_bytes += b->len;
+	write_more(to);
+}
+
+void peer_conn_become_current(struct peer_conn *c)
+{
+	c->current = true;
+	HASH_ADD(hh, c->set->by_node, info.node, sizeof(c->info.node), c);
+}
+
+static void retire(struct peer_conn *c)
+{
+	ctr_inc(&ctr_duplicate);
+	c->retired = true;
+	close_if_retired(c);
+}
+
+/* Of two connections to the same node: is `c` to be kept rather than `old`? */
+static bool is_preferred(const struct peer_conn *c, const struct peer_conn *old)
+{
+	bool self_is_lower;
+
+	if (c->dialled == old->dialled)
+		return true; /* the peer or we dialled again: the old one is broken */
+	self_is_lower = peer_address_compare(&c->set->self_address, &c->address) < 0;
+	return c->dialled == self_is_lower;
+}
+
+void peer_conn_meet_duplicate(struct peer_conn *c, struct peer_conn *old)
+{
+	if (MUTANT(peer_keep_duplicate))
+		return;
+	if (!is_preferred(c, old)) {
+		retire(c);
+		return;
+	}
+	leave_node(old);
+	peer_conn_become_current(c);
+	move_queue(old, c);
+	if (c->dialled == old->dialled) {
+		ctr_inc(&ctr_duplicate);
+		peer_conn_close(old);
+	} else {
+		retire(old);
+	}
+}
--- /dev/null
+++ b/src/connection/peer_dial.c
@@ -0,0 +1,177 @@
+/* Addresses of peers and new connections, dialled and accepted. */
+#include "connection/peer_priv.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/ctr.h"
+
+#define DIAL_MAX_MS 2000
+#define MAX_STRANGERS 64
+
+CTR(ctr_refused, "peer_refused_total", "Accepted connections refused, too many without HELLO.");
+
+bool peer_address_set(struct sockaddr_in *out, const char *ip, uint32_t port)
+{
+	*out = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	return port > 0 && port <= UINT16_MAX && inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+int peer_address_compare(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	uint32_t ip_a = ntohl(a->sin_addr.s_addr);
+	uint32_t ip_b = ntohl(b->sin_addr.s_addr);
+
+	if (ip_a != ip_b)
+		return ip_a < ip_b ? -1 : 1;
+	return (int)ntohs(a->sin_port) - (int)ntohs(b->sin_port);
+}
+
+const char *peer_address_text(const struct sockaddr_in *a)
+{
+	static char text[INET_ADDRSTRLEN + 8];
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &a->sin_addr, ip, sizeof(ip));
+	snprintf(text, sizeof(text), "%s:%u", ip, ntohs(a->sin_port));
+	return text;
+}
+
+/* Up to half of the time is random, so that routers that lost a peer together spread out. */
+static clk_ms jitter(struct peer_set *set, clk_ms ms)
+{
+	return ms / 2 + (clk_ms)rnd_below(&set->rnd, (uint64_t)ms / 2 + 1);
+}
+
+void peer_back_off(struct peer_set *set, struct peer_target *t)
+{
+	t->next_dial = clk_now() + jitter(set, t->backoff);
+	t->backoff = t->backoff * 2 < DIAL_MAX_MS ? t->backoff * 2 : DIAL_MAX_MS;
+}
+
+struct peer_target *peer_find_target(const struct peer_set *set, const struct sockaddr_in *address)
+{
+	for (struct peer_target *t = set->targets; t; t = t->next) {
+		if (peer_address_compare(&t->address, address) == 0)
+			return t;
+	}
+	return NULL;
+}
+
+static struct peer_conn *conn_new(struct peer_set *set, h2o_socket_t *sock, bool dialled)
+{
+	struct peer_conn *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	c->set = set;
+	c->sock = sock;
+	c->dialled = dialled;
+	c->queue_end = &c->queue;
+	c->info.last_heard = clk_now();
+	c->next = set->conns;
+	set->conns = c;
+	sock->data = c;
+	return c;
+}
+
+static void send_hello(struct peer_conn *c)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+
+	frame.body_case = BC__FRAME__BODY_HELLO;
+	frame.hello = &c->set->self;
+	peer_conn_send(c, &frame);
+}
+
+static void conn_start(struct peer_conn *c)
+{
+	int on = 1;
+
+	setsockopt(h2o_socket_get_fd(c->sock), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c->connected = true;
+	h2o_socket_read_start(c->sock, peer_on_read);
+	send_hello(c);
+}
+
+static void note_attempt(struct peer_conn *c, int error)
+{
+	if (c->target)
+		c->target->refused = error == ECONNREFUSED;
+}
+
+static void on_connect(h2o_socket_t *sock, const char *err)
+{
+	struct peer_conn *c = sock->data;
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	if (getsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		error = errno;
+	note_attempt(c, error);
+	if (err || error)
+		peer_conn_close(c);
+	else
+		conn_start(c);
+}
+
+void peer_on_accept(h2o_socket_t *listener, const char *err)
+{
+	struct peer_set *set = listener->data;
+	h2o_socket_t *sock;
+	struct peer_conn *c;
+
+	if (err)
+		return;
+	while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
+		socklen_t len = sizeof(c->address);
+
+		if (set->n_strangers >= MAX_STRANGERS) {
+			ctr_inc(&ctr_refused);
+			h2o_socket_close(sock);
+			continue;
+		}
+		c = conn_new(set, sock, false);
+		set->n_strangers++;
+		getpeername(h2o_socket_get_fd(sock), (struct sockaddr *)&c->address, &len);
+		conn_start(c);
+	}
+}
+
+/* h2o_socket_connect() hides why an attempt failed, and a refused one is known to be answered. */
+static int start_connect(const struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) == 0 ||
+	    errno == EINPROGRESS)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+void peer_dial(struct peer_set *set, struct peer_target *t)
+{
+	int fd = start_connect(&t->address);
+	h2o_socket_t *sock;
+	struct peer_conn *c;
+
+	if (fd < 0) {
+		t->refused = errno == ECONNREFUSED;
+		peer_back_off(set, t);
+		return;
+	}
+	sock = h2o_evloop_socket_create(set->loop, fd, 0);
+	c = conn_new(set, sock, true);
+	c->target = t;
+	c->address = t->address;
+	t->dialling = c;
+	h2o_socket_notify_write(sock, on_connect);
+}
--- /dev/null
+++ b/src/connection/peer_read.c
@@ -0,0 +1,173 @@
+/* What arrives from peers: the handshake with HELLO, then frames for the owner of the set. */
+#include "connection/peer_priv.h"
+
+#include <string.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "base/mutant.h"
+#include "connection/frame.h"
+
+/* A stranger can make the process hold no more than this much input. */
+#define HELLO_MAX_BYTES 4096
+
+static const struct log log = {"peer"};
+CTR(ctr_up, "peer_connections_total", "Peer connections that completed the handshake.");
+CTR(ctr_garbage, "peer_malformed_total", "Peer connections closed because of a bad frame.");
+CTR(ctr_frames_in, "peer_frames_received_total", "Frames received from peers.");
+
+static void conn_malformed(struct peer_conn *c, const char *what)
+{
+	ctr_inc(&ctr_garbage);
+	log_error(&log, "closed the connection %s %s: %s", c->dialled ? "to" : "from",
+		  peer_address_text(&c->address), what);
+	peer_conn_close(c);
+}
+
+static const char *check_hello(const Bc__Hello *h, struct sockaddr_in *address)
+{
+	if (!h->id[0] || !h->incarnation[0] || !h->region[0] || !h->failure_domain[0])
+		return "its HELLO lacks id, incarnation, region or failure domain";
+	if (!peer_address_set(address, h->ip, h->peer_port))
+		return "its HELLO has no valid peer address";
+	if (!h->caller_port || h->caller_port > UINT16_MAX || !h->operator_port ||
+	    h->operator_port > UINT16_MAX)
+		return "its HELLO has no valid caller or operator port";
+	return NULL;
+}
+
+static const char *keep(struct peer_conn *c, const char *s)
+{
+	return arena_str(&c->arena, str_from(s)).ptr;
+}
+
+static void fill_info(struct peer_conn *c, uint64_t node, const Bc__Hello *h)
+{
+	c->info = (struct peer_info){
+		.node = node,
+		.id = keep(c, h->id),
+		.incarnation = keep(c, h->incarnation),
+		.region = keep(c, h->region),
+		.failure_domain = keep(c, h->failure_domain),
+		.ip = keep(c, h->ip),
+		.peer_port = h->peer_port,
+		.caller_port = h->caller_port,
+		.operator_port = h->operator_port,
+		.last_heard = c->info.last_heard,
+	};
+}
+
+static void handle_hello(struct peer_conn *c, const Bc__Frame *frame)
+{
+	struct peer_set *set = c->set;
+	struct sockaddr_in address;
+	const char *wrong = check_hello(frame->hello, &address);
+	struct peer_conn *old;
+	struct peer_target *t;
+
+	if (wrong) {
+		conn_malformed(c, wrong);
+		return;
+	}
+	if (frame->sender == set->self_node) {
+		if (c->target)
+			c->target->is_self = true;
+		peer_conn_close(c);
+		return;
+	}
+	if (!c->dialled)
+		set->n_strangers--;
+	c->hello = true;
+	c->address = address;
+	c->remote = strcmp(frame->hello->region, set->self.region) != 0;
+	if (c->remote)
+		set->remote_bytes[PEER_CAUSE_OTHER] +=
+			FRAME_HEADER_BYTES + bc__hello__get_packed_size(&set->self);
+	fill_info(c, frame->sender, frame->hello);
+	t = peer_find_target(set, &c->address);
+	if (t)
+		t->backoff = PEER_DIAL_MIN_MS;
+	old = peer_find_node(set, c->info.node);
+	if (old) {
+		peer_conn_meet_duplicate(c, old);
+		return;
+	}
+	/* Another incarnation at the same address: the one before it is gone. */
+	old = peer_find_current(set, &c->address);
+	if (old)
+		peer_conn_close(old);
+	if (c->dead)
+		return;
+	peer_conn_become_current(c);
+	ctr_inc(&ctr_up);
+	log_info(&log, "peer %s at %s is up", c->info.id, peer_address_text(&c->address));
+	if (set->handlers.on_up)
+		set->handlers.on_up(set->data, &c->info);
+}
+
+static void handle_frame(struct peer_conn *c, const Bc__Frame *frame)
+{
+	struct peer_set *set = c->set;
+
+	ctr_inc(&ctr_frames_in);
+	if (!c->hello && frame->body_case != BC__FRAME__BODY_HELLO) {
+		conn_malformed(c, "its first frame is not HELLO; check that it is a router");
+		return;
+	}
+	if (c->hello && frame->sender != c->info.node && !MUTANT(peer_accept_other_sender)) {
+		conn_malformed(c, "a frame names another sender than its HELLO");
+		return;
+	}
+	hlc_observe(set->hlc, frame->hlc, clk_utc());
+	if (!c->hello) {
+		handle_hello(c, frame);
+		return;
+	}
+	if (frame->body_case == BC__FRAME__BODY_HELLO ||
+	    frame->body_case == BC__FRAME__BODY__NOT_SET)
+		return;
+	if (set->handlers.on_frame)
+		set->handlers.on_frame(set->data, &c->info, frame);
+}
+
+/* A stranger's first frame is bounded before it is collected. */
+static bool hello_too_long(const struct peer_conn *c)
+{
+	const uint8_t *p = (const uint8_t *)c->sock->input->bytes;
+
+	return !c->hello && c->sock->input->size >= FRAME_HEADER_BYTES &&
+	       (p[0] || p[1] || (size_t)p[2] << 8 >= HELLO_MAX_BYTES);
+}
+
+void peer_on_read(h2o_socket_t *sock, const char *err)
+{
+	struct peer_conn *c = sock->data;
+
+	if (sock->input->size)
+		c->info.last_heard = clk_now();
+	while (!c->dead) {
+		struct err why;
+		Bc__Frame *frame;
+		size_t consumed;
+		enum frame_status status;
+
+		if (hello_too_long(c)) {
+			conn_malformed(c,
+				       "its first frame is not HELLO; check that it is a router");
+			return;
+		}
+		status = frame_unpack((const uint8_t *)c->sock->input->bytes, c->sock->input->size,
+				      &frame, &consumed, &why);
+		if (status == FRAME_INCOMPLETE)
+			break;
+		if (status == FRAME_MALFORMED) {
+			conn_malformed(c, why.msg);
+			return;
+		}
+		h2o_buffer_consume(&c->sock->input, consumed);
+		handle_frame(c, frame);
+		frame_free(frame);
+	}
+	if (err && !c->dead)
+		peer_conn_close(c);
+}
