--- a/src/tool/httpcall.c
+++ b/src/tool/httpcall.c
@@ -11,31 +11,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "connection/picohttp.h"
+
 /* 65,536 events of a few hundred bytes fit. */
 #define MAX_ANSWER_BYTES (64u * 1024 * 1024)
 #define READ_BYTES 65536
 #define MAX_HEADERS 64
 
-/* picohttpparser, exported by h2o's library, whose packages do not contain its header. */
-struct phr_header {
-	const char *name;
-	size_t name_len;
-	const char *value;
-	size_t value_len;
-};
-
-struct phr_chunked_decoder {
-	size_t bytes_left_in_chunk;
-	char consume_trailer;
-	char _hex_count;
-	char _state;
-};
-
-int phr_parse_response(const char *buf, size_t len, int *minor_version, int *status,
-		       const char **msg, size_t *msg_len, struct phr_header *headers,
-		       size_t *num_headers, size_t last_len);
-ssize_t phr_decode_chunked(struct phr_chunked_decoder *decoder, char *buf, size_t *bufsz);
-
 struct conn {
 	int fd;
 	const char *address;
