assign: set-up of the planner and forced moves in files of their own

Ruled out: a file for splitting and merging of hot keys (splits are choices within the balancing loop). Run time of a plan was not measured. Conclusion: functions were moved and renamed only; assign.h is unchanged.

--- /dev/null
+++ b/src/version/assign_build.c
@@ -0,0 +1,214 @@
+/* State of the planner: upstreams, partitions, hot keys and their owners. */
+#include "version/assign_priv.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "version/config.h"
+
+/* Part of the mean partition load that every partition counts in addition, so that partitions
+ * without requests are spread evenly too. */
+#define IDLE_SHARE 0.01
+
+void *assign_zalloc(size_t n, size_t size)
+{
+	void *p = calloc(n ? n : 1, size);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+static int by_num(const void *a, const void *b)
+{
+	uint32_t x = ((const struct assign_up *)a)->num;
+	uint32_t y = ((const struct assign_up *)b)->num;
+
+	return (x > y) - (x < y);
+}
+
+void assign_build_ups(struct assign_planner *p, const struct assign_upstream *ups, size_t n)
+{
+	p->ups = assign_zalloc(n, sizeof(*p->ups));
+	for (size_t i = 0; i < n; i++) {
+		if (!ups[i].usable || ups[i].slots == 0)
+			continue;
+		p->ups[p->n_ups++] = (struct assign_up){
+			.num = ups[i].num, .slots = ups[i].slots, .first = ASSIGN_NONE};
+	}
+	qsort(p->ups, p->n_ups, sizeof(*p->ups), by_num);
+}
+
+static size_t find_up(const struct assign_planner *p, uint32_t num)
+{
+	struct assign_up key = {.num = num};
+	const struct assign_up *hit = bsearch(&key, p->ups, p->n_ups, sizeof(key), by_num);
+
+	return hit ? (size_t)(hit - p->ups) : ASSIGN_NONE;
+}
+
+static int by_key_hash(const void *a, const void *b)
+{
+	uint64_t x = ((const struct assign_candidate *)a)->key->key_hash;
+	uint64_t y = ((const struct assign_candidate *)b)->key->key_hash;
+
+	return (x > y) - (x < y);
+}
+
+double assign_sane(double load)
+{
+	return isfinite(load) && load > 0 ? load : 0;
+}
+
+void assign_build_keys(struct assign_planner *p, const struct assign_loads *loads, const bool *mine)
+{
+	p->keys = assign_zalloc(loads->n_keys, sizeof(*p->keys));
+	for (size_t i = 0; i < loads->n_keys; i++) {
+		uint32_t partition = loads->keys[i].partition;
+
+		if (partition < p->partitions && mine[partition])
+			p->keys[p->n_keys++] = (struct assign_candidate){.key = &loads->keys[i],
+									 .unit = partition};
+	}
+	qsort(p->keys, p->n_keys, sizeof(*p->keys), by_key_hash);
+}
+
+static struct assign_candidate *find_key(const struct assign_planner *p, uint64_t key_hash)
+{
+	struct assign_key_load probe = {.key_hash = key_hash};
+	struct assign_candidate key = {.key = &probe};
+
+	return bsearch(&key, p->keys, p->n_keys, sizeof(key), by_key_hash);
+}
+
+void assign_build_partitions(struct assign_planner *p, const Bc__Assign *current,
+			     const struct assign_loads *loads)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < p->partitions; i++) {
+		struct assign_item *u = &p->units[i];
+
+		u->partition = i;
+		u->owner = ASSIGN_NONE;
+		u->next = ASSIGN_NONE;
+		u->load = loads->partitions ? assign_sane(loads->partitions[i]) : 1;
+		sum += u->load;
+	}
+	for (uint32_t i = 0; i < p->partitions; i++)
+		p->units[i].load += sum > 0 ? IDLE_SHARE * sum / p->partitions : 1;
+	for (size_t i = 0; current && i < current->n_owners; i++) {
+		const Bc__Owner *o = current->owners[i];
+
+		if (o->partition < p->partitions)
+			p->units[o->partition].old_owner = o->upstream;
+	}
+	p->n_units = p->partitions;
+}
+
+void assign_build_hot(struct assign_planner *p, const Bc__Assign *current, const bool *mine)
+{
+	for (size_t i = 0; current && i < current->n_hot; i++) {
+		const Bc__HotKey *h = current->hot[i];
+		struct assign_item *u = &p->units[p->n_units];
+		struct assign_item *partition;
+		struct assign_candidate *key = find_key(p, h->key_hash);
+
+		*u = (struct assign_item){
+			.hot = true,
+			.key_hash = h->key_hash,
+			.partition = config_hash_partition(h->key_hash, p->partitions),
+			.old_owner = h->upstream,
+			.owner = ASSIGN_NONE,
+			.next = ASSIGN_NONE,
+		};
+		partition = &p->units[u->partition];
+		if (key && mine[u->partition]) {
+			u->load = assign_sane(key->key->load);
+			if (u->load > partition->load)
+				u->load = partition->load;
+			partition->load -= u->load;
+			key->split = true;
+			key->unit = p->n_units;
+		}
+		p->n_units++;
+		p->n_hot++;
+	}
+}
+
+void assign_attach(struct assign_planner *p, size_t unit, size_t up)
+{
+	struct assign_item *u = &p->units[unit];
+	struct assign_up *to = &p->ups[up];
+
+	u->owner = up;
+	u->next = to->first;
+	to->first = unit;
+	to->load += u->load;
+	if (u->load > to->largest)
+		to->largest = u->load;
+}
+
+void assign_detach(struct assign_planner *p, size_t unit)
+{
+	struct assign_up *from = &p->ups[p->units[unit].owner];
+	size_t *link = &from->first;
+
+	from->largest = 0;
+	while (*link != ASSIGN_NONE) {
+		struct assign_item *u = &p->units[*link];
+
+		if (*link == unit) {
+			*link = u->next;
+			continue;
+		}
+		if (u->load > from->largest)
+			from->largest = u->load;
+		link = &u->next;
+	}
+	from->load -= p->units[unit].load;
+	p->units[unit].owner = ASSIGN_NONE;
+}
+
+void assign_build_owners(struct assign_planner *p, const bool *mine)
+{
+	double slots = 0;
+
+	for (size_t i = 0; i < p->n_units; i++) {
+		struct assign_item *u = &p->units[i];
+		size_t up = u->old_owner ? find_up(p, u->old_owner) : ASSIGN_NONE;
+
+		if (!mine[u->partition])
+			continue;
+		p->total += u->load;
+		if (up != ASSIGN_NONE)
+			assign_attach(p, i, up);
+	}
+	for (size_t i = 0; i < p->n_ups; i++)
+		slots += p->ups[i].slots;
+	p->mean = slots > 0 ? p->total / slots : 0;
+}
+
+bool assign_emit(struct assign_planner *p, enum assign_unit kind, size_t unit, uint32_t to,
+		 bool forced)
+{
+	struct assign_item *u = &p->units[unit];
+
+	if (p->n_out == p->max)
+		return false;
+	p->out[p->n_out++] = (struct assign_move){
+		.unit = kind,
+		.partition = u->partition,
+		.key_hash = u->hot ? u->key_hash : 0,
+		.from = u->old_owner,
+		.to = to,
+		.forced = forced,
+	};
+	u->moved = true;
+	return true;
+}
+
+enum assign_unit assign_kind_of(const struct assign_item *u)
+{
+	return u->hot ? ASSIGN_HOT_KEY : ASSIGN_PARTITION;
+}
--- /dev/null
+++ b/src/version/assign_forced.c
@@ -0,0 +1,109 @@
+/* Forced moves: units without an owner, and units that another region has taken over. */
+#include "version/assign_priv.h"
+
+#include <stdlib.h>
+
+#include "base/mutant.h"
+
+static bool heap_less(const struct assign_planner *p, size_t a, size_t b)
+{
+	double x = assign_level(&p->ups[p->heap[a]]);
+	double y = assign_level(&p->ups[p->heap[b]]);
+
+	return x < y || (x == y && p->heap[a] < p->heap[b]);
+}
+
+static void heap_down(struct assign_planner *p, size_t i)
+{
+	for (;;) {
+		size_t least = i;
+		size_t tmp;
+
+		for (size_t child = 2 * i + 1; child <= 2 * i + 2; child++) {
+			if (child < p->n_ups && heap_less(p, child, least))
+				least = child;
+		}
+		if (least == i)
+			return;
+		tmp = p->heap[i];
+		p->heap[i] = p->heap[least];
+		p->heap[least] = tmp;
+		i = least;
+	}
+}
+
+static void heap_build(struct assign_planner *p)
+{
+	p->heap = assign_zalloc(p->n_ups, sizeof(*p->heap));
+	for (size_t i = 0; i < p->n_ups; i++)
+		p->heap[i] = i;
+	for (size_t i = p->n_ups / 2; i-- > 0;)
+		heap_down(p, i);
+}
+
+struct order {
+	double load;
+	size_t unit;
+};
+
+static int heaviest_first(const void *a, const void *b)
+{
+	const struct order *x = a;
+	const struct order *y = b;
+
+	if (x->load != y->load)
+		return x->load < y->load ? 1 : -1;
+	return (x->unit > y->unit) - (x->unit < y->unit);
+}
+
+static bool is_forced(const struct assign_item *u)
+{
+	/* Mutant: a loss spreads every partition anew. */
+	if (MUTANT(assign_reshuffle) && !u->hot)
+		return true;
+	/* Mutant: split-off keys stay with an owner that was lost. */
+	if (MUTANT(assign_forget_hot) && u->hot)
+		return false;
+	return u->owner == ASSIGN_NONE;
+}
+
+void assign_release_foreign(struct assign_planner *p, const bool *mine)
+{
+	for (size_t i = 0; i < p->n_units; i++) {
+		const struct assign_item *u = &p->units[i];
+
+		if (mine[u->partition] || u->old_owner == 0)
+			continue;
+		if (!assign_emit(p, u->hot ? ASSIGN_HOT_KEY_MERGE : ASSIGN_PARTITION, i, 0, true))
+			return;
+	}
+}
+
+void assign_place_forced(struct assign_planner *p, const bool *mine)
+{
+	struct order *order = assign_zalloc(p->n_units, sizeof(*order));
+	size_t n = 0;
+
+	for (size_t i = 0; i < p->n_units; i++) {
+		const struct assign_item *u = &p->units[i];
+
+		if (mine[u->partition] && is_forced(u))
+			order[n++] = (struct order){u->load, i};
+	}
+	qsort(order, n, sizeof(*order), heaviest_first);
+	heap_build(p);
+	for (size_t i = 0; i < n && p->n_ups > 0; i++) {
+		size_t unit = order[i].unit;
+		size_t up = p->heap[0];
+
+		if (p->units[unit].owner != ASSIGN_NONE)
+			assign_detach(p, unit);
+		if (!assign_emit(p, assign_kind_of(&p->units[unit]), unit, p->ups[up].num, true))
+			break;
+		assign_attach(p, unit, up);
+		heap_down(p, 0);
+	}
+	free(p->heap);
+	p->heap = NULL;
+	free(order);
+}
