config_yaml: tables of fields and the writer in files of their own

Cause: config_yaml.c had 741 lines and held the tables of sections and fields, the reader and the writer. Conclusion: code was moved and renamed only; config.h is unchanged.

--- a/src/version/config_yaml.c
+++ b/src/version/config_yaml.c
@@ -1,8 +1,8 @@
 /*
- * Reads and writes the configuration as YAML. libyaml's document tree keeps the line of each node,
- * so that an error can name line and field; a table for each section says which fields there are.
+ * Reads the configuration from YAML. libyaml's document tree keeps the line of each node, so that
+ * an error can name line and field.
  */
-#include "version/config.h"
+#include "version/config_yaml_priv.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -12,119 +12,6 @@
 
 /* Far above any real file; keeps the parser's memory bounded. */
 #define YAML_MAX_BYTES (4 * 1024 * 1024)
-#define DEFAULT_PARTITIONS 256
-#define DEFAULT_TIMEOUT_MS 2000
-#define DEFAULT_COLD_STEP 20
-
-enum field_type {
-	FIELD_STRING,
-	FIELD_STRINGS,
-	FIELD_NUMBER,
-	FIELD_NUMBERS,
-	FIELD_BOOL,
-	FIELD_ADDRESS, /* "ip:port"; `offset` is the ip, `offset2` the port */
-	FIELD_INTENT,
-};
-
-/* Fields of one section. `offset` points into the protobuf struct; lists have their count at
- * `offset2`. */
-struct field {
-	const char *name;
-	enum field_type type;
-	size_t offset;
-	size_t offset2;
-	bool required;
-	uint32_t fallback; /* numbers that may be left out */
-};
-
-#define REQUIRED true
-#define OPTIONAL false
-#define ONE(type, member) offsetof(type, member), 0
-#define LIST(type, member) offsetof(type, member), offsetof(type, n_##member)
-
-static const struct field region_fields[] = {
-	{"id", FIELD_STRING, ONE(Bc__Region, id), REQUIRED, 0},
-	{"entries", FIELD_STRINGS, LIST(Bc__Region, entries), OPTIONAL, 0},
-	{NULL},
-};
-
-static const struct field failure_domain_fields[] = {
-	{"id", FIELD_STRING, ONE(Bc__FailureDomain, id), REQUIRED, 0},
-	{"region", FIELD_STRING, ONE(Bc__FailureDomain, region), REQUIRED, 0},
-	{"out", FIELD_BOOL, ONE(Bc__FailureDomain, out), OPTIONAL, 0},
-	{NULL},
-};
-
-static const struct field service_fields[] = {
-	{"id", FIELD_STRING, ONE(Bc__Service, id), REQUIRED, 0},
-	{"keyed", FIELD_BOOL, ONE(Bc__Service, keyed), REQUIRED, 0},
-	{"partitions", FIELD_NUMBER, ONE(Bc__Service, partitions), OPTIONAL, DEFAULT_PARTITIONS},
-	{"regions", FIELD_STRINGS, LIST(Bc__Service, regions), REQUIRED, 0},
-	{"region_weights", FIELD_NUMBERS, LIST(Bc__Service, region_weights), OPTIONAL, 0},
-	{"timeout_ms", FIELD_NUMBER, ONE(Bc__Service, timeout_ms), OPTIONAL, DEFAULT_TIMEOUT_MS},
-	{"cold_step", FIELD_NUMBER, ONE(Bc__Service, cold_step), OPTIONAL, DEFAULT_COLD_STEP},
-	{NULL},
-};
-
-static const struct field route_fields[] = {
-	{"prefix", FIELD_STRING, ONE(Bc__Route, prefix), REQUIRED, 0},
-	{"service", FIELD_STRING, ONE(Bc__Route, service), REQUIRED, 0},
-	{"idempotent", FIELD_BOOL, ONE(Bc__Route, idempotent), REQUIRED, 0},
-	{"home_regions", FIELD_STRINGS, LIST(Bc__Route, home_regions), OPTIONAL, 0},
-	{NULL},
-};
-
-static const struct field account_fields[] = {
-	{"account", FIELD_STRING, ONE(Bc__AccountHome, account), REQUIRED, 0},
-	{"home_regions", FIELD_STRINGS, LIST(Bc__AccountHome, home_regions), REQUIRED, 0},
-	{NULL},
-};
-
-static const struct field upstream_fields[] = {
-	{"id", FIELD_STRING, ONE(Bc__Upstream, id), REQUIRED, 0},
-	{"service", FIELD_STRING, ONE(Bc__Upstream, service), REQUIRED, 0},
-	{"failure_domain", FIELD_STRING, ONE(Bc__Upstream, failure_domain), REQUIRED, 0},
-	{"address", FIELD_ADDRESS, offsetof(Bc__Upstream, ip), offsetof(Bc__Upstream, port),
-	 REQUIRED, 0},
-	{"slots", FIELD_NUMBER, ONE(Bc__Upstream, slots), REQUIRED, 0},
-	{"cold_limit", FIELD_NUMBER, ONE(Bc__Upstream, cold_limit), OPTIONAL, 1},
-	{"checks_grants", FIELD_BOOL, ONE(Bc__Upstream, checks_grants), OPTIONAL, 0},
-	{"intent", FIELD_INTENT, ONE(Bc__Upstream, intent), OPTIONAL, 0},
-	{NULL},
-};
-
-static const char *const intent_names[] = {
-	[BC__UPSTREAM_INTENT__IN] = "in",
-	[BC__UPSTREAM_INTENT__DRAINING] = "draining",
-	[BC__UPSTREAM_INTENT__DEAD] = "dead",
-};
-
-#define N_INTENTS (sizeof(intent_names) / sizeof(intent_names[0]))
-
-struct section {
-	const struct field *fields;
-	const ProtobufCMessageDescriptor *descriptor;
-	size_t list; /* offset of the pointer list in Bc__Config */
-	size_t count;
-	bool required;
-};
-
-static const struct section sections[CONFIG_SECTIONS] = {
-	[CONFIG_REGIONS] = {region_fields, &bc__region__descriptor, LIST(Bc__Config, regions),
-			    REQUIRED},
-	[CONFIG_FAILURE_DOMAINS] = {failure_domain_fields, &bc__failure_domain__descriptor,
-				    LIST(Bc__Config, failure_domains), REQUIRED},
-	[CONFIG_SERVICES] = {service_fields, &bc__service__descriptor, LIST(Bc__Config, services),
-			     REQUIRED},
-	[CONFIG_ROUTES] = {route_fields, &bc__route__descriptor, LIST(Bc__Config, routes),
-			   REQUIRED},
-	[CONFIG_ACCOUNTS] = {account_fields, &bc__account_home__descriptor,
-			     LIST(Bc__Config, account_homes), OPTIONAL},
-	[CONFIG_UPSTREAMS] = {upstream_fields, &bc__upstream__descriptor,
-			      LIST(Bc__Config, upstreams), REQUIRED},
-};
-
-#define MEMBER(ptr, type, offset) (*(type *)((char *)(ptr) + (offset)))
 
 /* ---- memory: what protobuf-c frees later ---- */
 
@@ -246,8 +133,8 @@
 
 	if (!read_scalar(r, node, field, &s))
 		return false;
-	for (size_t i = 0; i < N_INTENTS; i++) {
-		if (str_eq_cstr(s, intent_names[i])) {
+	for (size_t i = 0; i < CONFIG_YAML_N_INTENTS; i++) {
+		if (str_eq_cstr(s, config_yaml_intents[i])) {
 			*out = (Bc__UpstreamIntent)i;
 			return true;
 		}
@@ -286,11 +173,11 @@
 	return yaml_document_get_node(r->doc, node->data.sequence.items.start[i]);
 }
 
-static bool read_list(const struct reader *r, const yaml_node_t *node, const struct field *f,
-		      void *msg)
+static bool read_list(const struct reader *r, const yaml_node_t *node,
+		      const struct config_yaml_field *f, void *msg)
 {
 	size_t n;
-	size_t *count = &MEMBER(msg, size_t, f->offset2);
+	size_t *count = &CONFIG_YAML_MEMBER(msg, size_t, f->offset2);
 	void *list;
 
 	if (node->type != YAML_SEQUENCE_NODE)
@@ -298,11 +185,11 @@
 	n = list_length(node);
 	if (n == 0)
 		return true;
-	list = zalloc(n * (f->type == FIELD_STRINGS ? sizeof(char *) : sizeof(uint32_t)));
-	MEMBER(msg, void *, f->offset) = list;
+	list = zalloc(n * (f->type == CONFIG_FIELD_STRINGS ? sizeof(char *) : sizeof(uint32_t)));
+	CONFIG_YAML_MEMBER(msg, void *, f->offset) = list;
 	for (size_t i = 0; i < n; i++) {
 		const yaml_node_t *item = list_item(r, node, i);
-		bool ok = f->type == FIELD_STRINGS
+		bool ok = f->type == CONFIG_FIELD_STRINGS
 				  ? read_string(r, item, f->name, (char **)list + i)
 				  : read_number(r, item, f->name, (uint32_t *)list + i);
 
@@ -314,29 +201,32 @@
 	return true;
 }
 
-static bool read_field(const struct reader *r, const yaml_node_t *node, const struct field *f,
-		       void *msg)
+static bool read_field(const struct reader *r, const yaml_node_t *node,
+		       const struct config_yaml_field *f, void *msg)
 {
 	switch (f->type) {
-	case FIELD_STRING:
-		return read_string(r, node, f->name, &MEMBER(msg, char *, f->offset));
-	case FIELD_NUMBER:
-		return read_number(r, node, f->name, &MEMBER(msg, uint32_t, f->offset));
-	case FIELD_BOOL:
-		return read_bool(r, node, f->name, &MEMBER(msg, protobuf_c_boolean, f->offset));
-	case FIELD_ADDRESS:
-		return read_address(r, node, f->name, &MEMBER(msg, char *, f->offset),
-				    &MEMBER(msg, uint32_t, f->offset2));
-	case FIELD_INTENT:
-		return read_intent(r, node, f->name, &MEMBER(msg, Bc__UpstreamIntent, f->offset));
-	case FIELD_STRINGS:
-	case FIELD_NUMBERS:
+	case CONFIG_FIELD_STRING:
+		return read_string(r, node, f->name, &CONFIG_YAML_MEMBER(msg, char *, f->offset));
+	case CONFIG_FIELD_NUMBER:
+		return read_number(r, node, f->name, &CONFIG_YAML_MEMBER(msg, uint32_t, f->offset));
+	case CONFIG_FIELD_BOOL:
+		return read_bool(r, node, f->name,
+				 &CONFIG_YAML_MEMBER(msg, protobuf_c_boolean, f->offset));
+	case CONFIG_FIELD_ADDRESS:
+		return read_address(r, node, f->name, &CONFIG_YAML_MEMBER(msg, char *, f->offset),
+				    &CONFIG_YAML_MEMBER(msg, uint32_t, f->offset2));
+	case CONFIG_FIELD_INTENT:
+		return read_intent(r, node, f->name,
+				   &CONFIG_YAML_MEMBER(msg, Bc__UpstreamIntent, f->offset));
+	case CONFIG_FIELD_STRINGS:
+	case CONFIG_FIELD_NUMBERS:
 		return read_list(r, node, f, msg);
 	}
 	return false;
 }
 
-static const struct field *find_field(const struct field *fields, struct str name)
+static const struct config_yaml_field *find_field(const struct config_yaml_field *fields,
+						  struct str name)
 {
 	for (; fields->name; fields++) {
 		if (str_eq_cstr(name, fields->name))
@@ -384,14 +274,14 @@
 	return false;
 }
 
-static bool read_entry(const struct reader *r, const yaml_node_t *node, const struct section *s,
-		       void *msg)
+static bool read_entry(const struct reader *r, const yaml_node_t *node,
+		       const struct config_yaml_section *s, void *msg)
 {
 	if (node->type != YAML_MAPPING_NODE)
 		return BAD(r, node, "", "is not a mapping; write '- id: ...' with its fields");
 	if (!check_keys(r, node, known_field, s->fields))
 		return false;
-	for (const struct field *f = s->fields; f->name; f++) {
+	for (const struct config_yaml_field *f = s->fields; f->name; f++) {
 		const yaml_node_t *value = map_get(r, node, f->name);
 
 		if (value) {
@@ -399,8 +289,8 @@
 				return false;
 		} else if (f->required) {
 			return BAD(r, node, f->name, "is missing; add it");
-		} else if (f->type == FIELD_NUMBER) {
-			MEMBER(msg, uint32_t, f->offset) = f->fallback;
+		} else if (f->type == CONFIG_FIELD_NUMBER) {
+			CONFIG_YAML_MEMBER(msg, uint32_t, f->offset) = f->fallback;
 		}
 	}
 	return true;
@@ -409,9 +299,9 @@
 static bool read_section(struct reader *r, const yaml_node_t *root, enum config_section which,
 			 Bc__Config *c)
 {
-	const struct section *s = &sections[which];
+	const struct config_yaml_section *s = &config_yaml_sections[which];
 	const yaml_node_t *node = map_get(r, root, config_section_name(which));
-	size_t *count = &MEMBER(c, size_t, s->count);
+	size_t *count = &CONFIG_YAML_MEMBER(c, size_t, s->count);
 	ProtobufCMessage **list;
 	size_t n;
 
@@ -426,7 +316,7 @@
 	n = list_length(node);
 	list = zalloc(n * sizeof(*list));
 	if (n)
-		MEMBER(c, ProtobufCMessage **, s->list) = list;
+		CONFIG_YAML_MEMBER(c, ProtobufCMessage **, s->list) = list;
 	else
 		free(list);
 	for (size_t i = 0; i < n; i++) {
@@ -623,119 +513,3 @@
 	yaml_document_delete(&doc);
 	return c;
 }
-
-/* ---- writer ---- */
-
-/* Every string that passes config_check() is plain except route prefixes, so all are quoted. */
-static void write_string(FILE *out, const char *s)
-{
-	fputc('"', out);
-	for (; *s; s++) {
-		unsigned char c = (unsigned char)*s;
-
-		if (c == '"' || c == '\\')
-			fprintf(out, "\\%c", c);
-		else if (c < 0x20 || c == 0x7f)
-			fprintf(out, "\\x%02x", c);
-		else
-			fputc(c, out);
-	}
-	fputc('"', out);
-}
-
-static void write_list(FILE *out, const struct field *f, const void *msg)
-{
-	size_t n = MEMBER(msg, const size_t, f->offset2);
-
-	fputc('[', out);
-	for (size_t i = 0; i < n; i++) {
-		if (i)
-			fputs(", ", out);
-		if (f->type == FIELD_STRINGS)
-			write_string(out, MEMBER(msg, char **const, f->offset)[i]);
-		else
-			fprintf(out, "%u", MEMBER(msg, uint32_t *const, f->offset)[i]);
-	}
-	fputc(']', out);
-}
-
-static void write_value(FILE *out, const struct field *f, const void *msg)
-{
-	switch (f->type) {
-	case FIELD_STRING:
-		write_string(out, MEMBER(msg, char *const, f->offset));
-		break;
-	case FIELD_NUMBER:
-		fprintf(out, "%u", MEMBER(msg, const uint32_t, f->offset));
-		break;
-	case FIELD_BOOL:
-		fputs(MEMBER(msg, const protobuf_c_boolean, f->offset) ? "true" : "false", out);
-		break;
-	case FIELD_ADDRESS:
-		fprintf(out, "\"%s:%u\"", MEMBER(msg, char *const, f->offset),
-			MEMBER(msg, const uint32_t, f->offset2));
-		break;
-	case FIELD_INTENT:
-		fputs(intent_names[MEMBER(msg, const Bc__UpstreamIntent, f->offset)], out);
-		break;
-	case FIELD_STRINGS:
-	case FIELD_NUMBERS:
-		write_list(out, f, msg);
-		break;
-	}
-}
-
-/* Optional fields at their default are left out, which keeps an operator's file short. */
-static bool is_default(const struct field *f, const void *msg)
-{
-	if (f->required)
-		return false;
-	switch (f->type) {
-	case FIELD_NUMBER:
-		return MEMBER(msg, const uint32_t, f->offset) == f->fallback;
-	case FIELD_BOOL:
-		return !MEMBER(msg, const protobuf_c_boolean, f->offset);
-	case FIELD_INTENT:
-		return MEMBER(msg, const Bc__UpstreamIntent, f->offset) == BC__UPSTREAM_INTENT__IN;
-	case FIELD_STRINGS:
-	case FIELD_NUMBERS:
-		return MEMBER(msg, const size_t, f->offset2) == 0;
-	default:
-		return false;
-	}
-}
-
-static void write_section(FILE *out, enum config_section which, const Bc__Config *c)
-{
-	const struct section *s = &sections[which];
-	size_t n = MEMBER(c, const size_t, s->count);
-	void *const *list = MEMBER(c, void **const, s->list);
-
-	fprintf(out, "%s:%s\n", config_section_name(which), n ? "" : " []");
-	for (size_t i = 0; i < n; i++) {
-		const char *separator = "  - {";
-
-		for (const struct field *f = s->fields; f->name; f++) {
-			if (is_default(f, list[i]))
-				continue;
-			fprintf(out, "%s%s: ", separator, f->name);
-			write_value(out, f, list[i]);
-			separator = ", ";
-		}
-		fputs("}\n", out);
-	}
-}
-
-char *config_to_yaml(const Bc__Config *c)
-{
-	char *text = NULL;
-	size_t len = 0;
-	FILE *out = open_memstream(&text, &len);
-
-	if (!out)
-		abort();
-	for (int i = 0; i < CONFIG_SECTIONS; i++)
-		write_section(out, (enum config_section)i, c);
-	fclose(out);
-	return text;
-}
