--- a/src/process/node.c
+++ b/src/process/node.c
@@ -418,10 +418,11 @@
 	entry_list_destroy(n->entries);
 	relay_set_destroy(n->relays);
 	svc_destroy_all(n);
+	/* Open calls of the lead and of movers end here, so the lead must still be there. */
+	store_destroy(n->store);
 	lead_destroy(n->lead);
 	if (n->peers)
 		peer_set_destroy(n->peers);
-	store_destroy(n->store);
 	doc_set_destroy(n->docs);
 	event_log_destroy(n->events);
 	if (n->config)
--- a/src/process/store.c
+++ b/src/process/store.c
@@ -376,10 +376,13 @@
 	if (!s)
 		return;
 	while ((op = s->ops) != NULL) {
-		s->ops = op->next;
 		if (op->call)
 			upconn_cancel(op->call);
-		op_free(op);
+		op->call = NULL;
+		if (op->on_read)
+			finish_read(op, STORE_READ_FAILED, 0, STR_NULL);
+		else
+			finish_write(op, STORE_UNKNOWN, 0);
 	}
 	upconn_pool_destroy(s->pool);
 	free(s);
