--- a/src/process/store.c
+++ b/src/process/store.c
@@ -369,20 +369,26 @@
 	return s;
 }
 
+static void cancel_op(struct op *op)
+{
+	if (op->call)
+		upconn_cancel(op->call);
+	op->call = NULL;
+	if (op->on_read)
+		finish_read(op, STORE_READ_FAILED, 0, STR_NULL);
+	else
+		finish_write(op, STORE_UNKNOWN, 0);
+}
+
 void store_destroy(struct store *s)
 {
-	struct op *op;
+	struct op *next;
 
 	if (!s)
 		return;
-	while ((op = s->ops) != NULL) {
-		if (op->call)
-			upconn_cancel(op->call);
-		op->call = NULL;
-		if (op->on_read)
-			finish_read(op, STORE_READ_FAILED, 0, STR_NULL);
-		else
-			finish_write(op, STORE_UNKNOWN, 0);
+	for (struct op *op = s->ops; op; op = next) {
+		next = op->next;
+		cancel_op(op);
 	}
 	upconn_pool_destroy(s->pool);
 	free(s);
