probe: one call per upstream every 250 ms

Cause: the busiest idle router of 12 sent 8459 B/s after grants lost their lists, bound 8192. Ruled out: longer grants. Conclusion: three renewals fit into a grant of 800 ms.

--- a/src/process/probe.h
+++ b/src/process/probe.h
@@ -4,7 +4,7 @@
 
 #include "process/svc.h"
 
-#define PROBE_EVERY_MS 200
+#define PROBE_EVERY_MS 250
 #define PROBE_TIMEOUT_MS 400
 #define PROBE_GRANT_TTL_MS 800
 /* Difference of UTC clocks plus clock drift over one grant. */
