--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD ?= build
 PACKAGES := libh2o-evloop-dev libprotobuf-c-dev libcyaml-dev libyaml-dev libargtable2-dev \
 	libjansson-dev libxxhash-dev uthash-dev check libsubunit-dev librapidcheck-dev libssl-dev \
-	pkg-config shellcheck clang-format clang-tidy g++ python3 curl
+	pkg-config procps shellcheck clang-format clang-tidy g++ python3 curl
 
 CPPFLAGS := -Isrc -I. -D_GNU_SOURCE -DH2O_USE_LIBUV=0
 WARN := -Wall -Wextra -Werror -Wno-unused-parameter
--- a/src/process/mover.c
+++ b/src/process/mover.c
@@ -360,7 +360,7 @@
 	mv->serial = ++m->serial;
 	u = svc_upstream(m->svc, mv->m.to);
 	if (u)
-		probe_hurry(u);
+		probe_schedule_now(u);
 }
 
 static void serve(struct mover *m, clk_ms now, struct move *mv)
--- a/src/process/node_heartbeat.c
+++ b/src/process/node_heartbeat.c
@@ -187,10 +187,10 @@
 
 		if (!s || v->holder != from->node)
 			continue;
-		if (v->ballot < s->told_ballot && now < s->told_until)
+		if (v->ballot < s->announced_ballot && now < s->announced_until)
 			continue;
-		s->told_holder = v->holder;
-		s->told_ballot = v->ballot;
-		s->told_until = now + v->remaining_ms;
+		s->announced_holder = v->holder;
+		s->announced_ballot = v->ballot;
+		s->announced_until = now + v->remaining_ms;
 	}
 }
--- a/src/process/probe.c
+++ b/src/process/probe.c
@@ -182,7 +182,7 @@
 		send_health(u);
 }
 
-void probe_hurry(struct svc_upstream *u)
+void probe_schedule_now(struct svc_upstream *u)
 {
 	u->next_probe = 0;
 	u->probe_count = 0;
@@ -229,12 +229,12 @@
 	case BROKER_DONE_BROKE:
 		health_on_broke(&u->health, now, &ev);
 		u->last_unknown = now;
-		probe_hurry(u);
+		probe_schedule_now(u);
 		break;
 	case BROKER_DONE_TIMEOUT:
 		health_on_attempt(&u->health, now);
 		u->last_unknown = now;
-		probe_hurry(u);
+		probe_schedule_now(u);
 		break;
 	case BROKER_DONE_CANCELLED:
 		u->last_unknown = now;
--- a/src/process/probe.h
+++ b/src/process/probe.h
@@ -12,7 +12,7 @@
 
 void probe_tick(struct svc *s, clk_ms now);
 /* Sends the next probe or grant to this upstream at once. */
-void probe_hurry(struct svc_upstream *u);
+void probe_schedule_now(struct svc_upstream *u);
 /* Cancels calls under way. */
 void probe_stop(struct svc *s);
 /* An entry saw this of the upstream. */
--- a/src/process/svc.c
+++ b/src/process/svc.c
@@ -42,7 +42,7 @@
 
 	if (confirmed)
 		return confirmed;
-	return now < s->told_until ? s->told_holder : 0;
+	return now < s->announced_until ? s->announced_holder : 0;
 }
 
 /* ---- services and upstreams follow the configuration ------------------------------------------
--- a/src/process/svc.h
+++ b/src/process/svc.h
@@ -29,8 +29,8 @@
 	struct health health;
 	bool known_gone; /* the old process is known to have ended */
 	/* Limit that the broker announced last, for the next broker; 0: none known. */
-	uint32_t told_limit;
-	uint64_t told_start_id;
+	uint32_t announced_limit;
+	uint64_t announced_start_id;
 	uint32_t reported_limit; /* lowest in the takeover reports */
 	enum broker_upstream_state pushed;
 	bool pushed_any;
@@ -65,9 +65,9 @@
 	struct svc_upstream *upstreams;
 
 	/* Where other routers say the broker is; see svc_holder(). */
-	uint64_t told_holder;
-	uint64_t told_ballot;
-	clk_ms told_until;
+	uint64_t announced_holder;
+	uint64_t announced_ballot;
+	clk_ms announced_until;
 
 	/* Broker only. */
 	struct broker *broker;
--- a/src/process/svc_lease.c
+++ b/src/process/svc_lease.c
@@ -111,10 +111,10 @@
 	once_each(s->once, now, report_once, &r);
 	quarantine_each(s->quarantine, now, report_crash, &r);
 	for (const struct svc_upstream *u = s->upstreams; u; u = u->next) {
-		if (u->told_limit == 0 && u->told_start_id == 0)
+		if (u->announced_limit == 0 && u->announced_start_id == 0)
 			continue;
-		report_record(&r, BC__RECORD__KIND__LIMIT, u->num, u->told_limit, 0);
-		r.records[msg->n_records - 1].start_id = u->told_start_id;
+		report_record(&r, BC__RECORD__KIND__LIMIT, u->num, u->announced_limit, 0);
+		r.records[msg->n_records - 1].start_id = u->announced_start_id;
 	}
 	msg->report = true;
 	peer_send(s->node->peers, to, frame);
@@ -289,7 +289,7 @@
 		health_init(&u->health, now);
 		/* A start id that differs from the one the limit belongs to means a cold start. */
 		if (svc_limit_is_warm(u))
-			u->health.start_id = u->told_start_id;
+			u->health.start_id = u->announced_start_id;
 		u->next_probe = now;
 		u->grant_until = 0;
 		u->grant_serial_sent = u->grant_serial_acked = 0;
--- a/src/process/svc_limit.c
+++ b/src/process/svc_limit.c
@@ -12,13 +12,13 @@
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__Record rec = BC__RECORD__INIT;
 
-	u->told_limit = limit;
-	u->told_start_id = u->health.start_id;
+	u->announced_limit = limit;
+	u->announced_start_id = u->health.start_id;
 	rec.service = s->name;
 	rec.kind = BC__RECORD__KIND__LIMIT;
 	rec.hash = u->num;
 	rec.state = limit;
-	rec.start_id = u->told_start_id;
+	rec.start_id = u->announced_start_id;
 	frame.body_case = BC__FRAME__BODY_RECORD;
 	frame.record = &rec;
 	node_broadcast(s->node, &frame);
@@ -35,8 +35,8 @@
 	for (size_t i = 0; i < n && i < MAX_LOADS; i++) {
 		struct svc_upstream *u = svc_upstream(s, loads[i].num);
 
-		if (u &&
-		    (loads[i].limit != u->told_limit || u->told_start_id != u->health.start_id))
+		if (u && (loads[i].limit != u->announced_limit ||
+			  u->announced_start_id != u->health.start_id))
 			announce(s, u, loads[i].limit);
 	}
 }
@@ -47,8 +47,8 @@
 
 	if (!u)
 		return;
-	u->told_limit = rec->state;
-	u->told_start_id = rec->start_id;
+	u->announced_limit = rec->state;
+	u->announced_start_id = rec->start_id;
 }
 
 void svc_limit_on_report(struct svc *s, const Bc__Record *rec)
@@ -60,15 +60,16 @@
 	if (rec->state < u->reported_limit)
 		u->reported_limit = rec->state;
 	/* Members that heard of different starts: nobody knows which one is running. */
-	if (u->told_start_id && rec->start_id != u->told_start_id)
+	if (u->announced_start_id && rec->start_id != u->announced_start_id)
 		u->reported_limit = 0;
 }
 
 bool svc_limit_is_warm(const struct svc_upstream *u)
 {
-	uint32_t limit = u->told_limit < u->reported_limit ? u->told_limit : u->reported_limit;
+	uint32_t limit =
+		u->announced_limit < u->reported_limit ? u->announced_limit : u->reported_limit;
 
-	return u->conf && u->told_start_id && limit >= u->conf->slots;
+	return u->conf && u->announced_start_id && limit >= u->conf->slots;
 }
 
 void svc_limit_forget_reports(struct svc *s)
--- a/src/process/svc_record.c
+++ b/src/process/svc_record.c
@@ -107,7 +107,7 @@
 	once_each(s->once, now, resend_once, s);
 	quarantine_each(s->quarantine, now, resend_crash, s);
 	for (struct svc_upstream *u = s->upstreams; u; u = u->next)
-		u->told_limit = 0; /* announced again on the next tick */
+		u->announced_limit = 0; /* announced again on the next tick */
 	begin_pending_again(s, now);
 }
 
