test: bad input on all three ports of a router

Cause: malformed requests, frames and operators' calls had no run against a real router. Ruled out: a fuzzer in the test run (frames are fuzzed in unit_frame).

--- /dev/null
+++ b/test/scripts/badinput.sh
@@ -0,0 +1,58 @@
+#!/bin/bash
+# Bad input on the callers', operators' and peers' port of a router, under sanitizers. Guards
+# against a crash, a leak or an effect of malformed requests and frames: every case gets a clear
+# error or a closed connection, and the router serves afterwards.
+. "$(dirname "$0")/deployment.sh"
+begin_deployment 97 1
+
+callers=$(cluster_callers meseta 1)
+operators=$(cluster_operators meseta 1)
+peers=${operators%:*}:8002
+
+# status NAME CURL-ARGUMENT...: prints the status (000: closed without an answer).
+status() {
+	printf '%s: ' "$1"
+	curl -s -o "$CLUSTER_DIR/body" -m 20 -w '%{http_code}\n' "${@:2}" || true
+}
+
+# Sends raw bytes and closes; the answer, if any, is dropped.
+send_raw() {
+	timeout 5 bash -c "exec 3<>/dev/tcp/${1%:*}/${1#*:} && cat >&3 && timeout 1 cat <&3 >/dev/null" 2>/dev/null || true
+}
+
+error_of() { python3 -c "import json; print(json.load(open('$CLUSTER_DIR/body'))['error'])"; }
+
+run() {
+	local auth="authorization: Bearer $CLUSTER_CREDENTIAL" long
+	long=$(head -c 100000 /dev/zero | tr '\0' a)
+	status "header of 100,000 bytes" -H @<(echo "x-long: $long") "http://$callers/history/x"
+	head -c 17000000 /dev/zero >"$CLUSTER_DIR/big"
+	status "body over the limit" --data-binary "@$CLUSTER_DIR/big" "http://$callers/orders/new"
+	status "no such route" "http://$callers/nothing"
+	status "key missing" "http://$callers/history/x"
+	status "request id missing" -X POST -d x "http://$callers/orders/new"
+	error_of
+	status "request id malformed" -X POST -H 'x-request-id: a b' -d x "http://$callers/orders/new"
+	status "deadline malformed" -H 'x-key: k' -H 'x-timeout-ms: 12x' "http://$callers/history/x"
+	status "deadline too large" -H 'x-key: k' -H 'x-timeout-ms: 99999' "http://$callers/history/x"
+	status "operators' call on the callers' port" -H "$auth" "http://$callers/status"
+	status "no credential" "http://$operators/status"
+	status "wrong credential" -H 'authorization: Bearer wrong' "http://$operators/status"
+	status "plan that is no JSON" -H "$auth" -d '{' "http://$operators/plan"
+	status "plan of wrong types" -H "$auth" -d '{"intent":7,"version":"x","yaml":[]}' "http://$operators/plan"
+	status "unknown intent" -H "$auth" -d '{"intent":"explode"}' "http://$operators/plan"
+	status "confirm without a plan" -H "$auth" -d '{}' "http://$operators/confirm"
+	status "unknown call" -H "$auth" "http://$operators/nothing"
+	printf 'GET /history/x HTTP/1.1\r\nx-key: ' | send_raw "$callers"
+	printf 'POST /orders/new HTTP/1.1\r\ncontent-length: 100\r\n\r\nhalf' | send_raw "$callers"
+	printf '\0\0\0\0\1\2\3\4 no protocol\r\n\r\n' | send_raw "$callers"
+	printf '\377\377\377\377 a frame that is too long' | send_raw "$peers"
+	printf '\0\0\0\5aaaaa' | send_raw "$peers"
+	head -c 20000 "$CLUSTER_BIN/bamboocroft-router" | send_raw "$peers"
+	echo "half requests, half frames and garbage sent"
+	status "the router serves afterwards" -H 'x-key: k' "http://$callers/history/x"
+	cluster_end meseta-1 TERM
+	echo "planned stop: exit code $?"
+}
+
+compare_output test/scripts/badinput.expected run
