--- a/src/process/lease.c
+++ b/src/process/lease.c
@@ -39,7 +39,9 @@
 	uint64_t confirmed;
 	uint64_t confirmed_ballot;
 	clk_ms confirmed_until;
-	uint64_t highest; /* ballot granted or released so far */
+	uint64_t highest;     /* ballot granted or released so far */
+	uint64_t released_by; /* node that released a lease last, and its ballot */
+	uint64_t released_ballot;
 	uint64_t known_version;
 
 	/* Told by others: who seems to hold the lease. */
@@ -312,6 +314,8 @@
 static void drop_confirmation(struct lease *l, clk_ms now, uint64_t from, uint64_t ballot)
 {
 	l->highest = larger(l->highest, ballot);
+	l->released_by = from;
+	l->released_ballot = ballot;
 	if (l->told_holder == from) {
 		l->told_holder = 0;
 		l->free_at = now;
@@ -465,6 +469,12 @@
 	l->free_at = later(l->free_at, l->told_until);
 }
 
+/* A renewal that arrives after the release of its lease is no sign of a holder. */
+static bool is_released(const struct lease *l, uint64_t from, uint64_t ballot)
+{
+	return from == l->released_by && ballot <= l->released_ballot;
+}
+
 void lease_on_ask(struct lease *l, clk_ms now, uint64_t from, const struct lease_ask *ask,
 		  struct lease_reply *reply)
 {
@@ -476,8 +486,7 @@
 		confirm(l, now, from, ask);
 		granted = true;
 	} else if (!ask->takeover && ask->cell_version >= l->known_version &&
-		   (ask->ballot > l->highest || MUTANT(released_holder_noted))) {
-		/* A lower ballot may belong to a lease that was released in the meantime. */
+		   (!is_released(l, from, ask->ballot) || MUTANT(released_holder_noted))) {
 		note_told(l, now, from, l->opts.duration);
 	}
 	lease_note_version(l, ask->cell_version);
--- a/test/scripts/crash.sh
+++ b/test/scripts/crash.sh
@@ -31,6 +31,8 @@
 	for i in 1 2 3; do
 		cluster_fault "$(upstream_control pacifico 1 $i)" "{\"crash_on\":\"$POISON\"}"
 	done
+	# Brokers are known before the first grants have reached the upstreams.
+	cluster_wait_for 30 answers 1 key-1 harmless "200 completed"
 	echo "before: $(ask 1 key-1 harmless)"
 	# Sent again and again as an impatient caller does, through all routers of the region.
 	for i in 1 2 3 4 5 6 7 8 9; do
