--- a/src/process/probe.c
+++ b/src/process/probe.c
@@ -146,7 +146,6 @@
 	u->probe_body = NULL;
 	u->probe_is_grant = true;
 	u->probe_serial = s->mover ? mover_serial(s->mover) : 1;
-	u->grant_serial_sent = u->probe_serial;
 	f = open_memstream(&u->probe_body, &len);
 	write_grant(u, ttl, f);
 	fclose(f);
--- a/src/process/svc.h
+++ b/src/process/svc.h
@@ -40,9 +40,8 @@
 	clk_ms next_probe;
 	struct upconn_call *probe_call;
 	bool probe_is_grant;
-	clk_ms grant_until;	    /* latest end of any grant that may have arrived */
-	uint64_t grant_serial_sent; /* mover->serial at the last grant sent, and acknowledged */
-	uint64_t grant_serial_acked;
+	clk_ms grant_until;	     /* latest end of any grant that may have arrived */
+	uint64_t grant_serial_acked; /* mover->serial of the last grant acknowledged */
 	uint64_t probe_serial;
 	uint32_t probe_count;
 	clk_ms last_unknown; /* last request whose outcome stayed unknown */
--- a/src/process/svc_lease.c
+++ b/src/process/svc_lease.c
@@ -292,7 +292,7 @@
 			u->health.start_id = u->announced_start_id;
 		u->next_probe = now;
 		u->grant_until = 0;
-		u->grant_serial_sent = u->grant_serial_acked = 0;
+		u->grant_serial_acked = 0;
 		/* Requests that earlier brokers admitted may still be running unseen. */
 		u->last_unknown = now;
 		svc_push_upstream(u, now);
