keeper: a fence is bound to the connection that carried it first

A new process at a crashed one's address was granted keys under the old one's fence: one flag per upstream ('suspect') stood for the question whether a connection had carried a fence before. A grant of a range on its way cleared it, a grant that timed out was repeated under its fence, releases put their connections into the same pool, and both attempts to raise a former owner had one fence. Now each range knows the number of the connection that carried its fence; over another one it gets a new fence. Fences are reserved in blocks with each write of the map, so that costs no write and also goes on while the store is away. Ruled out: a second keeper (one term in the log), writes of unknown outcome (the replays break with them and without). Test: unit_keeper new_process_gets_new_fences, 4 low fences on the old code, 9 with the mutant keeper_keep_fence, 0 now.

--- a/src/connection/upconn.c
+++ b/src/connection/upconn.c
@@ -18,6 +18,7 @@
 /* Room for the names and the fixed parts of the headers that upconn adds to a request. */
 #define OWN_HEADER_BYTES 128
 
+static uint64_t last_conn_number;
 static const struct log log = {"upconn"};
 CTR(ctr_opened, "upconn_opened_total", "Connections opened to upstreams and platform services.");
 CTR(ctr_reused, "upconn_reused_total", "Calls that went over a connection that was kept.");
@@ -65,6 +66,17 @@
 	pool->n_idle--;
 }
 
+static void idle_push(struct upconn_conn *c)
+{
+	struct upconn_pool *pool = c->pool;
+
+	c->next = pool->idle;
+	if (c->next)
+		c->next->prev = c;
+	pool->idle = c;
+	pool->n_idle++;
+}
+
 static void conn_close(struct upconn_conn *c)
 {
 	if (c->call)
@@ -120,11 +132,7 @@
 		return;
 	}
 	c->carried++;
-	c->next = pool->idle;
-	if (c->next)
-		c->next->prev = c;
-	pool->idle = c;
-	pool->n_idle++;
+	idle_push(c);
 	if (MUTANT(upconn_reuse_unread)) {
 		h2o_socket_read_start(c->sock, on_idle_event_ignored);
 		return;
@@ -429,6 +437,7 @@
 	c->pool = pool;
 	c->call = call;
 	c->sock = sock;
+	c->number = ++last_conn_number;
 	c->generation = pool->generation;
 	sock->data = c;
 	call->conn = c;
@@ -461,6 +470,12 @@
 	}
 	timer_arm(&call->timer, req->timeout);
 	c = req->fresh ? NULL : take_idle(pool);
+	if (req->only_conn && (!c || c->number != req->only_conn)) {
+		if (c)
+			idle_push(c);
+		call_fail_later(call, UPCONN_NOT_SENT);
+		return call;
+	}
 	if (!c) {
 		if (pool->opts.connect_timeout && pool->opts.connect_timeout < req->timeout)
 			timer_arm(&call->timer, pool->opts.connect_timeout);
@@ -494,6 +509,11 @@
 	return call->sent;
 }
 
+uint64_t upconn_call_conn(const struct upconn_call *call)
+{
+	return call->conn ? call->conn->number : 0;
+}
+
 /* ---- pool ----------------------------------------------------------------------------------- */
 
 struct upconn_pool *upconn_pool_create(h2o_loop_t *loop, const char *ip, uint32_t port,
@@ -524,19 +544,19 @@
 	return pool;
 }
 
-bool upconn_has_idle(struct upconn_pool *pool)
+uint64_t upconn_idle_conn(struct upconn_pool *pool)
 {
 	struct upconn_conn *next;
 
 	for (struct upconn_conn *c = pool->idle; c; c = next) {
 		next = c->next;
 		if (clk_now() < c->usable_until && !conn_is_stale(c))
-			return true;
+			return c->number;
 		ctr_inc(&ctr_stale);
 		idle_unlink(c);
 		conn_close(c);
 	}
-	return false;
+	return 0;
 }
 
 clk_ms upconn_refused_at(const struct upconn_pool *pool)
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -56,6 +56,8 @@
 	struct str request_id; /* sent in the id header and compared with the echo; may be empty */
 	clk_ms timeout;	       /* for connect, write and whole answer together */
 	bool fresh;	       /* open a new connection instead of reusing one */
+	/* Number of the only connection that may carry it, else NOT_SENT; 0: any. */
+	uint64_t only_conn;
 	/* Called immediately before the first byte is written; NULL: always. */
 	bool (*may_send)(void *data);
 };
@@ -111,8 +113,11 @@
 clk_ms upconn_refused_at(const struct upconn_pool *pool);
 /* When a connection of the pool ended by itself last, idle or not; 0 if never. */
 clk_ms upconn_broken_at(const struct upconn_pool *pool);
-/* Whether the next call would go over a kept connection, as far as can be seen now. */
-bool upconn_has_idle(struct upconn_pool *pool);
+/*
+ * Number of the kept connection that the next call would go over, as far as can be seen now; 0: it
+ * would open a new one. Numbers are unique within the process.
+ */
+uint64_t upconn_idle_conn(struct upconn_pool *pool);
 /* Calls that are still open are cancelled without a callback. */
 void upconn_pool_destroy(struct upconn_pool *pool);
 /* Closes idle connections; the pool is destroyed when its last call has ended. */
@@ -125,5 +130,7 @@
 /* Closes the connection; the callback is not called. Not for a call whose callback has begun. */
 void upconn_cancel(struct upconn_call *call);
 bool upconn_was_sent(const struct upconn_call *call);
+/* Number of the connection that carries the call, 0 if it has none. */
+uint64_t upconn_call_conn(const struct upconn_call *call);
 
 #endif
--- a/src/connection/upconn_priv.h
+++ b/src/connection/upconn_priv.h
@@ -21,6 +21,7 @@
 	struct upconn_pool *pool;
 	struct upconn_call *call;
 	h2o_socket_t *sock;
+	uint64_t number; /* unique within the process */
 	uint64_t generation;
 	uint64_t carried;	  /* requests before the current one */
 	clk_ms usable_until;	  /* while idle */
--- a/src/process/keeper.c
+++ b/src/process/keeper.c
@@ -85,13 +85,22 @@
 	timer_arm(&k->timer, 0);
 }
 
+void keeper_new_fence(struct keeper *k, struct key_range *r, uint64_t n)
+{
+	k->fence += n;
+	r->fence = k->fence;
+	r->fence_conn = 0;
+	if (k->fence > k->fence_ready)
+		keeper_changed(k, r);
+}
+
 void keeper_refence(struct keeper *k, struct key_range *r)
 {
-	r->fence = ++k->fence;
+	keeper_new_fence(k, r, 1);
 	if (r->phase == KEY_HELD)
 		r->phase = KEY_GIVING;
 	r->due = 0;
-	keeper_changed(k, r);
+	timer_arm(&k->timer, 0);
 }
 
 static void move(struct keeper *k, clk_ms now, const struct keyplan_move *m)
@@ -106,8 +115,7 @@
 		 k->service, (unsigned long long)r->owner, (unsigned long long)m->owner);
 	ctr_inc(&ctr_moves);
 	/* The fence below is for the former owner, see `raise`. */
-	k->fence += 2;
-	r->fence = k->fence;
+	keeper_new_fence(k, r, 2);
 	r->moved_at = now;
 	if (r->phase == KEY_HELD || r->phase == KEY_GIVING) {
 		/* Also a grant without an answer may have been accepted. */
@@ -116,6 +124,7 @@
 		r->phase = KEY_TAKING;
 		/* An upstream refuses a late grant only if it was granted under a higher fence. */
 		r->raise = now < r->late_until ? KEEPER_RAISE_ATTEMPTS : 0;
+		r->raise_sent = false;
 		r->wait_out = false;
 	} else if (r->phase == KEY_NONE) {
 		r->phase = KEY_GIVING;
@@ -145,8 +154,12 @@
 			continue;
 		}
 		r->to = n->to;
-		if (n->fence > r->fence)
+		if (n->fence > r->fence) {
 			r->fence = n->fence;
+			r->fence_conn = n->fence_conn;
+			r->granted_fence = n->granted_fence;
+			r->granted_conn = n->granted_conn;
+		}
 		if (n->held_until > r->held_until)
 			r->held_until = n->held_until;
 		if (n->late_until > r->late_until)
--- a/src/process/keeper_hold.c
+++ b/src/process/keeper_hold.c
@@ -88,7 +88,8 @@
 		call_drop(c);
 	}
 	HASH_DEL(k->holders, h);
-	upconn_pool_destroy(h->pool);
+	upconn_pool_destroy(h->grants);
+	upconn_pool_destroy(h->releases);
 	free(h);
 }
 
@@ -97,7 +98,7 @@
 	struct key_holder *h = holder_find(k, num);
 	const struct fleet_upstream *u = fleet_find(k->env.fleet, num);
 	struct upconn_options opts = {
-		.max_idle = 2,
+		.max_idle = 1,
 		.connect_timeout = CONNECT_TIMEOUT_MS,
 		.silence_limit = 2000,
 		/* A grant that is held up by a partition must not arrive after its time. */
@@ -111,8 +112,9 @@
 		abort();
 	h->num = num;
 	h->started = u->started;
-	h->suspect = true;
-	h->pool = upconn_pool_create_with(k->env.loop, u->ip, u->port, &opts);
+	h->grants = upconn_pool_create_with(k->env.loop, u->ip, u->port, &opts);
+	opts.max_idle = 0;
+	h->releases = upconn_pool_create_with(k->env.loop, u->ip, u->port, &opts);
 	HASH_ADD(hh, k->holders, num, sizeof(h->num), h);
 	return h;
 }
@@ -150,7 +152,6 @@
 static void note_failure(struct key_holder *h, clk_ms now)
 {
 	ctr_inc(&ctr_failed);
-	h->suspect = true;
 	if (!h->failing_since)
 		h->failing_since = now;
 }
@@ -168,6 +169,7 @@
 	r->phase = KEY_HELD;
 	r->serving = r->owner;
 	r->granted_fence = c->fence;
+	r->granted_conn = c->conn;
 	r->owner_may_hold = false;
 	r->former = 0;
 	r->handover[0] = '\0';
@@ -227,6 +229,11 @@
 		on_raise_answer(k, r, c, a, now);
 		return;
 	}
+	if (a->result == UPCONN_NOT_SENT && r) {
+		r->due = 0; /* its connection ended just before; over the next one it gets a new
+			       fence */
+		return;
+	}
 	if (a->result != UPCONN_OK || (a->status != 200 && a->status != 409)) {
 		log_warn(&log, "grant of keys of %s to %016llx: %s, status %d", k->service,
 			 (unsigned long long)c->holder, upconn_result_name(a->result), a->status);
@@ -237,9 +244,6 @@
 		if (a->sent)
 			note_unanswered(k, r, c->fence, now);
 		r->due = now + RETRY_MS;
-		/* The connection ended on the way: what comes next may be another process. */
-		if (a->result == UPCONN_BROKE && r->phase == KEY_GIVING)
-			keeper_refence(k, r);
 		return;
 	}
 	if (h)
@@ -327,6 +331,16 @@
 		timer_arm(&k->timer, 0);
 }
 
+/* Connection over which the fence was sent before, 0: it never was. */
+static uint64_t conn_of_fence(const struct key_range *r, uint64_t fence)
+{
+	if (MUTANT(keeper_keep_fence))
+		return 0;
+	if (r->phase != KEY_TAKING)
+		return r->fence_conn;
+	return fence == r->granted_fence ? r->granted_conn : 0;
+}
+
 static void send_order(struct keeper *k, struct key_range *r, struct key_holder *h, bool release,
 		       uint64_t fence, clk_ms now)
 {
@@ -357,8 +371,7 @@
 		.headers = json_type,
 		.n_headers = 1,
 		.body = k->env.platform->grant_body(&c->arena, &order),
-		/* A second answer to an earlier order must not pass for a release. */
-		.fresh = release,
+		.only_conn = release ? 0 : conn_of_fence(r, fence),
 		.timeout = release ? RELEASE_TIMEOUT_MS : GRANT_TIMEOUT_MS,
 	};
 	c->next = k->calls;
@@ -375,11 +388,31 @@
 			r->held_until = keeper_lease_end(k, now + GRANT_TIMEOUT_MS);
 	}
 	ctr_inc(release ? &ctr_releases : &ctr_grants);
-	c->open = upconn_send(h->pool, &c->req, on_answer, c);
+	/* Each release has its own connection: a second answer to an earlier order must not pass
+	 * for it. */
+	c->open = upconn_send(release ? h->releases : h->grants, &c->req, on_answer, c);
+	c->conn = upconn_call_conn(c->open);
+	if (!release && fence == r->fence)
+		r->fence_conn = c->conn;
 }
 
 /* ---- progress of ranges --------------------------------------------------------------------- */
 
+/* The fence below that of the range is for the former owner; each attempt has its own. */
+static void raise_step(struct keeper *k, struct key_range *r, struct key_holder *h, clk_ms now)
+{
+	if (h->granting)
+		return;
+	if (r->raise_sent) {
+		r->raise_sent = false;
+		keeper_new_fence(k, r, 2);
+		if (r->serial > k->committed)
+			return;
+	}
+	r->raise_sent = true;
+	send_order(k, r, h, false, r->fence - 1, now);
+}
+
 static void take_step(struct keeper *k, struct key_range *r, clk_ms now)
 {
 	struct key_holder *h;
@@ -404,30 +437,12 @@
 	if (r->call || !h || now < r->due)
 		return;
 	if (r->raise) {
-		if (!h->granting)
-			send_order(k, r, h, false, r->fence - 1, now);
+		raise_step(k, r, h, now);
 		return;
 	}
 	send_order(k, r, h, true, r->fence, now);
 }
 
-/* Whether the holder may be another process than the one that got the fence of the range. */
-static bool needs_fence(struct key_holder *h, const struct key_range *r)
-{
-	if (!upconn_has_idle(h->pool))
-		h->suspect = true;
-	return h->suspect && r->phase == KEY_HELD;
-}
-
-/* Ranges of a holder that may have been replaced get a new fence before the next grant. */
-static void refence_all(struct keeper *k, uint64_t num)
-{
-	for (struct key_range *r = k->ranges; r; r = r->next) {
-		if (r->owner == num && (r->phase == KEY_HELD || r->phase == KEY_GIVING) && !r->call)
-			keeper_refence(k, r);
-	}
-}
-
 static void give_step(struct keeper *k, struct key_range *r, clk_ms now)
 {
 	struct key_holder *h = holder_get(k, r->owner);
@@ -439,16 +454,18 @@
 		/* Another process at this id: connections to the old one are of no use. */
 		holder_free(k, h);
 		h = holder_get(k, r->owner);
-		refence_all(k, r->owner);
+	}
+	if (r->fence_conn && r->fence_conn != upconn_idle_conn(h->grants) &&
+	    !MUTANT(keeper_keep_fence)) {
+		log_info(&log,
+			 "keys %u-%u of %s: the connection to upstream %016llx that had fence %llu "
+			 "ended; fence %llu follows",
+			 r->from, r->to, k->service, (unsigned long long)r->owner,
+			 (unsigned long long)r->fence, (unsigned long long)k->fence + 1);
+		keeper_refence(k, r);
 		if (r->serial > k->committed)
 			return;
 	}
-	if (needs_fence(h, r)) {
-		h->suspect = false;
-		refence_all(k, r->owner);
-		return;
-	}
-	h->suspect = false;
 	send_order(k, r, h, false, r->fence, now);
 }
 
@@ -465,7 +482,8 @@
 {
 	struct key_holder *h = holder_get(k, r->former);
 
-	if (r->call || now < r->due || !h || h->granting || h->suspect || !upconn_has_idle(h->pool))
+	if (r->call || now < r->due || !h || h->granting || !r->granted_conn ||
+	    r->granted_conn != upconn_idle_conn(h->grants))
 		return;
 	send_order(k, r, h, false, r->granted_fence, now);
 }
--- a/src/process/keeper_priv.h
+++ b/src/process/keeper_priv.h
@@ -17,6 +17,8 @@
 #define KEEPER_CONFIRM_MS 900
 /* Attempts to show a former owner a higher fence before its lease is waited out instead. */
 #define KEEPER_RAISE_ATTEMPTS 2
+/* Fences that are reserved with each write of the map, so that a new one costs no write. */
+#define KEEPER_FENCE_RESERVE 4096
 /* Requests that the plan looks at: those of the last seconds, at most so many. */
 #define KEEPER_WINDOW_MS 1500
 #define KEEPER_MAX_REQUESTS 4096
@@ -42,7 +44,13 @@
 	clk_ms second_until;
 	bool owner_may_hold;
 	uint64_t fence;
+	/*
+	 * Connection that carried grants under `fence`, 0: none yet. Over another connection they
+	 * could reach another process at the same address, which must not have the same fence.
+	 */
+	uint64_t fence_conn;
 	uint64_t granted_fence; /* under which `serving` holds the keys */
+	uint64_t granted_conn;	/* and the connection of that grant */
 	enum key_phase phase;
 	/*
 	 * Upstream that requests go to: the owner once it has accepted the keys; during a move the
@@ -56,6 +64,7 @@
 			      */
 	uint64_t late_fence; /* and was sent under this fence */
 	unsigned int raise;  /* attempts left to show the former owner a higher fence first */
+	bool raise_sent;     /* the fence of the next attempt was sent once already */
 	bool wait_out;	     /* it did not answer: its lease has to end, unless it is heard again */
 	clk_ms due;	     /* next call */
 	clk_ms moved_at;
@@ -67,11 +76,11 @@
 /* An upstream as this keeper reaches it for grants. */
 struct key_holder {
 	uint64_t num;
-	struct upconn_pool *pool;
-	int64_t started;      /* run of its process that the pool talks to */
-	bool granting;	      /* a grant is under way; they go one after the other */
-	bool suspect;	      /* its connection ended: it may be another process by now */
-	clk_ms failing_since; /* 0: the last call was answered */
+	struct upconn_pool *grants;   /* one connection, one grant at a time */
+	struct upconn_pool *releases; /* a new connection for each */
+	int64_t started;	      /* run of its process that the pools talk to */
+	bool granting;		      /* a grant is under way */
+	clk_ms failing_since;	      /* 0: the last call was answered */
 	UT_hash_handle hh;
 };
 
@@ -82,6 +91,7 @@
 	uint64_t holder;
 	bool release;
 	uint64_t fence;
+	uint64_t conn; /* that carries it */
 	clk_ms sent;
 	struct arena arena;
 	struct upconn_request req;
@@ -110,10 +120,12 @@
 	/* map */
 	struct key_range *ranges;
 	size_t n_ranges;
-	uint64_t fence;	    /* highest that was used or is about to be */
-	uint64_t serial;    /* state of the ranges in memory */
-	uint64_t committed; /* state that the store has */
-	uint64_t writing;   /* state that is being written, 0: none */
+	uint64_t fence;	      /* highest that was used or is about to be */
+	uint64_t fence_limit; /* written to the store: a successor starts above it */
+	uint64_t fence_ready; /* fences up to this one may be used; the store has the limit */
+	uint64_t serial;      /* state of the ranges in memory */
+	uint64_t committed;   /* state that the store has */
+	uint64_t writing;     /* state that is being written, 0: none */
 	bool reading;
 	bool commit_failed;
 	clk_ms next_commit;
@@ -141,6 +153,8 @@
 void keeper_changed(struct keeper *k, struct key_range *r);
 /* Owners that requests may be sent to have changed. */
 void keeper_publish(struct keeper *k);
+/* `n` fences that were never used, the last one for the range. */
+void keeper_new_fence(struct keeper *k, struct key_range *r, uint64_t n);
 /* A new fence for the range; its owner must be granted again. */
 void keeper_refence(struct keeper *k, struct key_range *r);
 
--- a/src/process/keeper_row.c
+++ b/src/process/keeper_row.c
@@ -48,6 +48,7 @@
 
 	keeper_ranges_clear(k);
 	k->fence = 0;
+	k->fence_limit = 0;
 	if (row && !map) {
 		/* Without it nobody knows who holds what, nor which fences were used. */
 		log_error(&log,
@@ -87,7 +88,7 @@
 	return true;
 }
 
-static void *pack_map(const struct keeper *k, size_t *len)
+static void *pack_map(struct keeper *k, size_t *len)
 {
 	Bc__KeyHold *holds = calloc(k->n_ranges + 1, sizeof(*holds));
 	Bc__KeyHold **pointers = calloc(k->n_ranges + 1, sizeof(*pointers));
@@ -108,7 +109,9 @@
 		pointers[n] = &holds[n];
 		n++;
 	}
-	row.fence = k->fence;
+	if (k->fence_limit < k->fence + KEEPER_FENCE_RESERVE / 2)
+		k->fence_limit = k->fence + KEEPER_FENCE_RESERVE;
+	row.fence = k->fence_limit;
 	row.n_holds = n;
 	row.holds = pointers;
 	*len = bc__key_row__get_packed_size(&row);
@@ -142,6 +145,7 @@
 	k->seen_version = a->version;
 	k->confirmed_at = now;
 	k->committed = k->serial;
+	k->fence_ready = k->fence_limit;
 	k->writing = 0;
 	k->reading = false;
 	k->commit_failed = false;
@@ -259,6 +263,7 @@
 	if (a->status == META_OK) {
 		k->map_version = a->version;
 		k->committed = serial;
+		k->fence_ready = k->fence_limit;
 		k->confirmed_at = k->read_at;
 		keeper_hold_committed(k);
 		timer_arm(&k->timer, 0);
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -84,7 +84,7 @@
 		check_end(c, true);
 		return;
 	}
-	if (upconn_has_idle(pool)) {
+	if (upconn_idle_conn(pool)) {
 		check_end(c, false);
 		return;
 	}
--- a/test/unit_keeper.c
+++ b/test/unit_keeper.c
@@ -189,9 +189,10 @@
 	bool alive;
 	bool mute; /* takes orders and does not answer */
 	bool late; /* carries grants out LATE_MS after they arrived and does not answer them */
-	uint64_t fence[KEY_SPACE]; /* highest seen */
-	uint64_t had[KEY_SPACE];   /* highest under which it got the key */
-	clk_ms until[KEY_SPACE];   /* holds the key until then */
+	uint64_t fence[KEY_SPACE];  /* highest seen */
+	uint64_t had[KEY_SPACE];    /* highest under which it got the key */
+	uint64_t before[KEY_SPACE]; /* highest under which earlier processes here got it */
+	clk_ms until[KEY_SPACE];    /* holds the key until then */
 };
 
 struct world {
@@ -221,6 +222,7 @@
 	bool low = false;
 
 	for (uint32_t key = from; key <= to; key++) {
+		low = low || s->before[key] >= fence;
 		for (int i = 0; i < UPSTREAMS; i++) {
 			const struct server *other = &w->servers[i];
 
@@ -593,6 +595,52 @@
 }
 END_TEST
 
+/* Another process, which knows nothing of the first one, listens at the address of an upstream. */
+static void replace_process(struct server *s)
+{
+	ingress_destroy(s->ingress);
+	for (uint32_t key = 0; key < KEY_SPACE; key++) {
+		if (s->before[key] < s->had[key])
+			s->before[key] = s->had[key];
+		s->had[key] = 0;
+		s->fence[key] = 0;
+		s->until[key] = 0;
+	}
+	server_listen(s);
+}
+
+/*
+ * An upstream's process is replaced at its address, without a sign in the registrations, while one
+ * grant to it is without an answer. Guards against grants to the new process under a fence that the
+ * old one had (hormas-gw deploy/days/late.toml, seed 477622204079).
+ */
+START_TEST(new_process_gets_new_fences)
+{
+	static struct world w;
+
+	start(&w);
+	for (int round = 0; round < 3; round++) {
+		put_upstream(&w, 1, true);
+		keeper_fleet_changed(w.keepers[0]);
+		ck_assert(unit_run_until(w.loop, keyless_drained, &w));
+		put_upstream(&w, 1, false);
+		w.servers[1].mute =
+			true; /* its first grant ends after 600 ms, the next comes 250 ms later */
+		keeper_fleet_changed(w.keepers[0]);
+		unit_run_for(w.loop, 700);
+		replace_process(&w.servers[1]);
+		w.servers[1].mute = false;
+		unit_run_for(w.loop, HOLD_MS);
+		replace_process(&w.servers[2]);
+		unit_run_for(w.loop, HOLD_MS);
+		check_audit(&w);
+	}
+	ck_assert(unit_run_until(w.loop, served_by_first, &w));
+	check_audit(&w);
+	teardown(&w);
+}
+END_TEST
+
 /* Orders are carried out and not answered: what is unknown counts as held. */
 START_TEST(unanswered_orders_count)
 {
@@ -753,8 +801,13 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"keeper_refused_is_dead", "keeper_skip_release",   "keeper_forget_owner",
-	"keeper_act_early",	  "keeper_never_isolated", NULL,
+	"keeper_refused_is_dead",
+	"keeper_skip_release",
+	"keeper_forget_owner",
+	"keeper_act_early",
+	"keeper_never_isolated",
+	"keeper_keep_fence",
+	NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -762,6 +815,7 @@
 	tcase_add_test(tc, keys_are_granted_and_renewed);
 	tcase_add_test(tc, leaving_upstream_hands_its_keys_over);
 	tcase_add_test(tc, unreachable_upstream_keeps_its_lease);
+	tcase_add_test(tc, new_process_gets_new_fences);
 	tcase_add_test(tc, unanswered_orders_count);
 	tcase_add_test(tc, late_grant_after_a_release);
 	tcase_add_test(tc, two_keepers_at_once);
