keeper: goes on when the store returns without history; owners are asked for when they are missing

With the history trimmed meanwhile its call for changes ended with "trimmed" each time, and the read that would have answered was part of a commit, which is an act: nobody renewed leases any more. Keepers now tell in pulses which version they have sent; who lacks it asks. Ruled out for 1: the store driver, its calls end after 1.5 s. Tests: unit_keeper store_returns_without_history, gateway.sh, each with a mutant.

--- a/src/process/gateway_key.c
+++ b/src/process/gateway_key.c
@@ -4,6 +4,7 @@
 #include "base/arena.h"
 #include "base/ctr.h"
 #include "base/log.h"
+#include "base/mutant.h"
 
 /* Changes of the map are collected this long before they are sent; see MAP_LEAD_MS. */
 #define MAP_MS 40
@@ -13,7 +14,7 @@
 #define WHOLE_MAP_MS 300
 
 static const struct log log = {"keys"};
-CTR(ctr_gaps, "key_map_gaps_total", "Changes of a map to a version that is not known here.");
+CTR(ctr_gaps, "key_map_gaps_total", "Times that the map known here was older than it should be.");
 CTR(ctr_unseen, "key_load_dropped_total", "Requests for keys left out of a report to the keeper.");
 
 static struct gateway_service *find_service(struct gateway *g, const char *name)
@@ -78,28 +79,41 @@
 	}
 }
 
-static void on_key_map(struct gateway *g, uint64_t from, const Bc__KeyMap *map)
+static void ask_whole_map(struct gateway *g, struct gateway_service *s, uint64_t from)
 {
-	struct gateway_service *s = find_service(g, map->service);
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__KeyMapGet get = BC__KEY_MAP_GET__INIT;
 	clk_ms now = clk_now();
 
-	if (!s || keeper_apply_map(s->keeper, map) != KEYMAP_GAP)
-		return;
-	ctr_inc(&ctr_gaps);
 	if (now - s->map_asked < WHOLE_MAP_MS)
 		return;
 	s->map_asked = now;
+	ctr_inc(&ctr_gaps);
 	log_info(&log,
-		 "changes of the owners of %s to version %llu of term %llu, which is not known",
-		 s->name, (unsigned long long)map->since, (unsigned long long)map->term);
+		 "the owners of %s known here are older than those of the keeper; asking for them",
+		 s->name);
 	get.service = s->name;
 	frame.body_case = BC__FRAME__BODY_KEY_MAP_GET;
 	frame.key_map_get = &get;
 	gateway_send(g, from, &frame);
 }
 
+void gateway_check_map(struct gateway *g, struct gateway_service *s, uint64_t from, uint64_t term,
+		       uint64_t version)
+{
+	if (version && !keeper_is_keeping(s->keeper) &&
+	    !keeper_map_is_known(s->keeper, term, version) && !MUTANT(gateway_trust_maps))
+		ask_whole_map(g, s, from);
+}
+
+static void on_key_map(struct gateway *g, uint64_t from, const Bc__KeyMap *map)
+{
+	struct gateway_service *s = find_service(g, map->service);
+
+	if (s && keeper_apply_map(s->keeper, map) == KEYMAP_GAP)
+		ask_whole_map(g, s, from);
+}
+
 /* ---- reports to the keeper ------------------------------------------------------------------ */
 
 void gateway_on_key(void *gateway, const char *service, uint32_t key)
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -75,6 +75,7 @@
 		terms[i] = (Bc__KeeperTerm)BC__KEEPER_TERM__INIT;
 		terms[i].service = s->name;
 		terms[i].term = keeper_term(s->keeper);
+		terms[i].version = keeper_map_version(s->keeper);
 		pointers[i] = &terms[i];
 		msg.n_keeper++;
 	}
@@ -114,8 +115,10 @@
 		p->keeps[p->n_keeps].term = msg->keeper[i]->term;
 		p->n_keeps++;
 		HASH_FIND(hh, g->services, &id, sizeof(id), s);
-		if (s && s->keeper)
-			keeper_heard(s->keeper, msg->keeper[i]->term);
+		if (!s || !s->keeper)
+			continue;
+		keeper_heard(s->keeper, msg->keeper[i]->term);
+		gateway_check_map(g, s, p->node, msg->keeper[i]->term, msg->keeper[i]->version);
 	}
 	watch_peer_has(g->watch, META_CONFIG, msg->config_row);
 	watch_peer_has(g->watch, META_UPSTREAMS, msg->upstreams_row);
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -160,6 +160,9 @@
 /* Owners of keys changed here: the peers get the changes soon. */
 void gateway_map_changed(struct gateway *g, struct gateway_service *s);
 void gateway_on_map_timer(struct timer *timer, void *gateway);
+/* A peer keeps the service and has sent this version of its map: asks for it if it is not here. */
+void gateway_check_map(struct gateway *g, struct gateway_service *s, uint64_t from, uint64_t term,
+		       uint64_t version);
 /* The maps of all services kept here, for a new peer. */
 void gateway_send_maps(struct gateway *g, uint64_t to);
 /* A request for a key was decided here. */
--- a/src/process/keeper.c
+++ b/src/process/keeper.c
@@ -11,6 +11,8 @@
 #include "process/keyplan.h"
 
 #define TICK_MS 100
+/* Each turn looks at all ranges, so answers that come close together are handled by one. */
+#define MIN_TICK_MS 10
 /* Between two plans for balance; one takes a release, a write and a grant to come into force. */
 #define PLAN_MS 250
 /* A range that was moved stays where it is for this long. */
@@ -80,6 +82,13 @@
 	r->next = rest;
 }
 
+void keeper_wake(struct keeper *k)
+{
+	clk_ms since = clk_now() - k->last_tick;
+
+	timer_arm(&k->timer, since < MIN_TICK_MS ? MIN_TICK_MS - since : 0);
+}
+
 void keeper_changed(struct keeper *k, struct key_range *r)
 {
 	/* A write that is under way has the state before this change. */
@@ -87,7 +96,7 @@
 		k->serial++;
 	r->serial = k->serial;
 	k->next_commit = k->next_commit > clk_now() ? k->next_commit : 0;
-	timer_arm(&k->timer, 0);
+	keeper_wake(k);
 }
 
 void keeper_new_fence(struct keeper *k, struct key_range *r, uint64_t n)
@@ -105,7 +114,7 @@
 	if (r->phase == KEY_HELD)
 		r->phase = KEY_GIVING;
 	r->due = 0;
-	timer_arm(&k->timer, 0);
+	keeper_wake(k);
 }
 
 static void move(struct keeper *k, clk_ms now, const struct keyplan_move *m)
@@ -182,6 +191,13 @@
 
 void keeper_publish(struct keeper *k)
 {
+	k->publish_due = true;
+	keeper_wake(k);
+}
+
+static void publish_now(struct keeper *k)
+{
+	k->publish_due = false;
 	keymap_clear(&k->view);
 	for (const struct key_range *r = k->ranges; r; r = r->next)
 		keymap_add(&k->view, r->from, r->to, r->serving);
@@ -202,6 +218,16 @@
 	return keymap_pack(a, k->service, &k->sent, &k->sent, 0);
 }
 
+uint64_t keeper_map_version(const struct keeper *k)
+{
+	return k->sent.term == k->view.term ? k->sent.version : 0;
+}
+
+bool keeper_map_is_known(const struct keeper *k, uint64_t term, uint64_t version)
+{
+	return k->view.term > term || (k->view.term == term && k->view.version >= version);
+}
+
 Bc__KeyMap *keeper_map_changes(struct keeper *k, struct arena *a)
 {
 	bool whole = k->sent.term != k->view.term;
@@ -239,6 +265,7 @@
 		return;
 	k->state = KEEPER_FOLLOWING;
 	timer_cancel(&k->timer);
+	k->publish_due = false;
 	keeper_hold_clear(k);
 	keeper_ranges_clear(k);
 	if (!was)
@@ -450,7 +477,7 @@
 	if (k->state != KEEPER_KEEPING)
 		return;
 	k->next_plan = 0;
-	timer_arm(&k->timer, 0);
+	keeper_wake(k);
 }
 
 /* ---- time ----------------------------------------------------------------------------------- */
@@ -463,6 +490,17 @@
 	return k->env.peers_agree(k->env.data, k->service, k->term);
 }
 
+static void act(struct keeper *k, clk_ms now)
+{
+	if (now >= k->next_plan && !k->writing && watch_store_ok(k->env.watch) && !k->stopping) {
+		k->next_plan = now + PLAN_MS;
+		plan(k, now);
+	}
+	if (k->serial != k->committed && !k->writing && !k->reading && now >= k->next_commit)
+		keeper_commit(k);
+	keeper_hold_tick(k, now);
+}
+
 static void on_timer(struct timer *timer, void *data)
 {
 	struct keeper *k = data;
@@ -471,17 +509,13 @@
 	if (k->state != KEEPER_KEEPING)
 		return;
 	timer_arm(&k->timer, TICK_MS);
+	k->last_tick = now;
 	if (!k->confirming && now - k->confirm_sent >= KEEPER_CONFIRM_MS)
 		keeper_confirm(k);
-	if (!may_act(k, now))
-		return;
-	if (now >= k->next_plan && !k->writing && watch_store_ok(k->env.watch) && !k->stopping) {
-		k->next_plan = now + PLAN_MS;
-		plan(k, now);
-	}
-	if (k->serial != k->committed && !k->writing && !k->reading && now >= k->next_commit)
-		keeper_commit(k);
-	keeper_hold_tick(k, now);
+	if (may_act(k, now))
+		act(k, now);
+	if (k->publish_due)
+		publish_now(k);
 }
 
 struct keeper *keeper_create(const struct keeper_env *env, const char *service)
--- a/src/process/keeper.h
+++ b/src/process/keeper.h
@@ -75,6 +75,10 @@
 /* The whole map as it was sent last, for a peer that has none. NULL: it will be sent with the next
  * changes. */
 Bc__KeyMap *keeper_map(const struct keeper *k, struct arena *a);
+/* Version of the map that was sent last, 0: none in this term. */
+uint64_t keeper_map_version(const struct keeper *k);
+/* Whether the map known here is at least as new as this one of a peer. */
+bool keeper_map_is_known(const struct keeper *k, uint64_t term, uint64_t version);
 /* What changed since the last call, for all peers. */
 Bc__KeyMap *keeper_map_changes(struct keeper *k, struct arena *a);
 /* A map from the keeper. */
--- a/src/process/keeper_hold.c
+++ b/src/process/keeper_hold.c
@@ -333,7 +333,7 @@
 	call_unlink(c);
 	call_free(c);
 	if (k->state == KEEPER_KEEPING)
-		timer_arm(&k->timer, 0);
+		keeper_wake(k);
 }
 
 /* Connection over which the fence was sent before, 0: it never was. */
--- a/src/process/keeper_priv.h
+++ b/src/process/keeper_priv.h
@@ -107,6 +107,8 @@
 	char service[FLEET_NAME_BYTES];
 	enum keeper_state state;
 	struct timer timer;
+	clk_ms last_tick;
+	bool publish_due; /* `serving` of a range has changed */
 	bool stopping;
 	/* role */
 	uint64_t term;
@@ -145,7 +147,9 @@
 
 /* keeper.c: the ranges changed and have to be written before they are acted upon. */
 void keeper_changed(struct keeper *k, struct key_range *r);
-/* Owners that requests may be sent to have changed. */
+/* The next turn of the timer comes soon. */
+void keeper_wake(struct keeper *k);
+/* Owners that requests may be sent to have changed; the next turn tells. */
 void keeper_publish(struct keeper *k);
 /* `n` fences that were never used, the last one for the range. */
 void keeper_new_fence(struct keeper *k, struct key_range *r, uint64_t n);
--- a/src/process/keeper_row.c
+++ b/src/process/keeper_row.c
@@ -7,6 +7,7 @@
 
 #include "base/ctr.h"
 #include "base/log.h"
+#include "base/mutant.h"
 
 /* Pause after a commit that failed. */
 #define COMMIT_RETRY_MS 200
@@ -195,7 +196,7 @@
 		r->serving = r->phase == KEY_GIVING ? r->owner : 0;
 	keeper_publish(k);
 	keeper_confirm(k);
-	timer_arm(&k->timer, 0);
+	keeper_wake(k);
 }
 
 /* The rows of the role and the map change together, each on condition of what was read. */
@@ -280,10 +281,19 @@
 	}
 	map = find_row(a, map_key(k, name, sizeof(name)));
 	k->map_version = map ? map->version : 0;
+	if (a->version > k->seen_version)
+		k->seen_version = a->version;
 	k->confirmed_at = k->read_at;
 	k->commit_failed = false;
 	k->next_commit = 0;
-	timer_arm(&k->timer, 0);
+	keeper_wake(k);
+}
+
+static void reread(struct keeper *k)
+{
+	k->read_at = clk_now();
+	k->reading = true;
+	k->env.platform->store->read(k->env.meta, META_KEYS, on_reread, k);
 }
 
 static void on_committed(void *data, const struct meta_answer *a)
@@ -301,7 +311,7 @@
 		k->fence_ready = k->fence_limit;
 		k->confirmed_at = k->read_at;
 		keeper_hold_committed(k);
-		timer_arm(&k->timer, 0);
+		keeper_wake(k);
 		return;
 	}
 	log_info(&log, "the map of %s was not written: %s", k->service,
@@ -320,8 +330,7 @@
 
 	k->read_at = clk_now();
 	if (k->commit_failed) {
-		k->reading = true;
-		k->env.platform->store->read(k->env.meta, META_KEYS, on_reread, k);
+		reread(k);
 		return;
 	}
 	packed = pack_map(k, &len);
@@ -353,9 +362,12 @@
 	if (k->state != KEEPER_KEEPING)
 		return;
 	if (a->status == META_TRIMMED) {
-		/* Too old a version to watch from: the next read or commit shows who keeps. */
-		k->commit_failed = true;
-		k->serial += k->serial == k->committed;
+		/*
+		 * Too old a version to watch from. Only a read shows who keeps, and until then this
+		 * keeper may not act, so it does not wait for the next commit.
+		 */
+		if (!k->reading && !MUTANT(keeper_stay_trimmed))
+			reread(k);
 		return;
 	}
 	if (a->status != META_OK)
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6210,7 +6210,7 @@
   (ProtobufCMessageInit) bc__key_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__keeper_term__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bc__keeper_term__field_descriptors[3] =
 {
   {
     "service",
@@ -6236,15 +6236,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__KeeperTerm, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__keeper_term__field_indices_by_name[] = {
   0,   /* field[0] = service */
   1,   /* field[1] = term */
+  2,   /* field[2] = version */
 };
 static const ProtobufCIntRange bc__keeper_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bc__keeper_term__descriptor =
 {
@@ -6254,7 +6267,7 @@
   "Bc__KeeperTerm",
   "bc",
   sizeof(Bc__KeeperTerm),
-  2,
+  3,
   bc__keeper_term__field_descriptors,
   bc__keeper_term__field_indices_by_name,
   1,  bc__keeper_term__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -904,10 +904,14 @@
   ProtobufCMessage base;
   char *service;
   uint64_t term;
+  /*
+   * of the map that the peers have been sent, 0: none yet
+   */
+  uint64_t version;
 };
 #define BC__KEEPER_TERM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__keeper_term__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/test/scripts/gateway.sh
+++ b/test/scripts/gateway.sh
@@ -3,7 +3,7 @@
 # configuration, an outage of the store, a lost keeper, a planned stop.
 # Guards against a request that runs twice, a false "not run", a configuration that reverts, and
 # keys that stay without an owner when the gateway that gives them is lost.
-# mutants: forward_repeat_once forward_false_not_run gateway_revert_config
+# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps
 . "$(dirname "$0")/lib.sh"
 begin
 
@@ -180,10 +180,22 @@
 put op config "$(config 00000007 /third/)"
 wait_until answers 200 1 POST /third/1 --data-binary x
 
-echo "-- the keeper is killed, the other gateway takes over"
+echo "-- a gateway that starts without the store gets the owners after the configuration"
 keeper=2
 grep -q '"module":"keeper","msg":"keeper of keys' "$WORK/gateway-1.log" && keeper=1
 other=$((3 - keeper))
+control "$STORE_CONTROL" '{"refuse":503}'
+kill -KILL "${PIDS[gateway-$other]}"
+await_exit "gateway-$other"
+gateway "$other"
+peer_is_up() { [ "$(grep -c '"module":"peer","msg":"peer gateway-'$other' at' "$WORK/gateway-$keeper.log")" -ge 3 ]; }
+wait_until peer_is_up
+control "$STORE_CONTROL" '{"refuse":0}'
+wait_until is_ready "$other"
+wait_until answers 200 "$other" GET /look/4 -H "x-shard-key: 5"
+ask "$other" GET /look/4 -H "x-shard-key: 60000"
+
+echo "-- the keeper is killed, the other gateway takes over"
 kill -KILL "${PIDS[gateway-$keeper]}"
 await_exit "gateway-$keeper"
 wait_until answers 200 $other GET /look/4 -H "x-shard-key: 5"
--- a/test/unit_keeper.c
+++ b/test/unit_keeper.c
@@ -32,6 +32,7 @@
 	struct row rows[MAX_ROWS];
 	size_t n_rows;
 	uint64_t version;
+	uint64_t oldest;  /* history before it is gone */
 	bool down;	  /* refuses every call */
 	bool lose_writes; /* done, but not answered */
 	bool refuse_writes;
@@ -106,6 +107,10 @@
 	struct call *c = answer_later(m, cb, data, 50);
 
 	c->rows = !m->down;
+	if (!m->down && after < m->oldest) {
+		c->status = META_TRIMMED;
+		c->rows = false;
+	}
 	c->after = after;
 }
 
@@ -787,6 +792,28 @@
 }
 END_TEST
 
+/*
+ * The store is away and returns without its history. Guards against a keeper that waits for ever
+ * for the word of the store that it still keeps (soak, seed 10): nobody renews leases then.
+ */
+START_TEST(store_returns_without_history)
+{
+	static struct world w;
+
+	start(&w);
+	w.meta.down = true;
+	w.agree = false;
+	unit_run_for(w.loop, 3200);
+	w.meta.version += 5;
+	w.meta.oldest = w.meta.version;
+	w.meta.down = false;
+	unit_run_for(w.loop, 2 * HOLD_MS);
+	ck_assert(unit_run_until(w.loop, served_by_first, &w));
+	check_audit(&w);
+	teardown(&w);
+}
+END_TEST
+
 /* A keeper that is cut off from store and peers may have been replaced: it stops. */
 START_TEST(isolated_keeper_stops)
 {
@@ -837,8 +864,9 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"keeper_refused_is_dead", "keeper_skip_release", "keeper_forget_owner", "keeper_act_early",
-	"keeper_never_isolated",  "keeper_keep_fence",	 "keeper_any_row",	NULL,
+	"keeper_refused_is_dead", "keeper_skip_release",   "keeper_forget_owner",
+	"keeper_act_early",	  "keeper_never_isolated", "keeper_keep_fence",
+	"keeper_any_row",	  "keeper_stay_trimmed",   NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -856,6 +884,7 @@
 	tcase_add_test(tc, store_outage_keeps_the_owners);
 	tcase_add_test(tc, isolated_keeper_stops);
 	tcase_add_test(tc, map_fits_its_row);
+	tcase_add_test(tc, store_returns_without_history);
 }
 
 int main(int argc, char **argv)
