--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -19,8 +19,10 @@
 #define STORE_NEARER_MS 8
 /* At first the peers have to find each other. */
 #define FIRST_ELECTION_MS 800
-/* Lenders and keepers are taken from the gateways with at least this share of the processor time of
- * the one that has most. */
+/*
+ * Lenders, keepers and readers are taken from the gateways with at least this share of the
+ * processor time of the one that has most.
+ */
 #define STRONG_SHARE 0.5
 /* A peer's word counts while it is this young. */
 #define PULSE_AGE_MS 1200
--- a/src/process/keeper_hold.c
+++ b/src/process/keeper_hold.c
@@ -405,8 +405,7 @@
 			r->held_until = keeper_lease_end(k, now + GRANT_TIMEOUT_MS);
 	}
 	ctr_inc(release ? &ctr_releases : &ctr_grants);
-	/* Each release has its own connection: a second answer to an earlier order must not pass
-	 * for it. */
+	/* A release has a connection of its own: no second answer to an earlier order ends it. */
 	c->open = upconn_send(release ? h->releases : h->grants, &c->req, on_answer, c);
 	c->conn = upconn_call_conn(c->open);
 	if (!release && fence == r->fence)
