--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -54,7 +54,7 @@
 	return peer_send(((struct gateway *)gateway)->peers, node, frame);
 }
 
-static bool is_near(const struct gateway *g, const struct gateway_peer *p)
+bool gateway_is_near(const struct gateway *g, const struct gateway_peer *p)
 {
 	return str_eq_cstr(g->settings.region, p->region);
 }
@@ -92,7 +92,7 @@
 	frame.body_case = BC__FRAME__BODY_PULSE;
 	frame.pulse = &msg;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
-		if (!everyone && !is_near(g, p))
+		if (!everyone && !gateway_is_near(g, p))
 			continue;
 		ctr_inc(&ctr_pulses);
 		peer_send(g->peers, p->node, &frame);
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -144,6 +144,8 @@
 bool gateway_peers_open(struct gateway *g, struct err *err);
 /* State of this gateway to the peers; `everyone` includes those of other regions. */
 void gateway_send_pulse(struct gateway *g, bool everyone);
+/* Whether the peer is in the region of this gateway. */
+bool gateway_is_near(const struct gateway *g, const struct gateway_peer *p);
 void gateway_broadcast(struct gateway *g, Bc__Frame *frame);
 bool gateway_send(void *gateway, uint64_t node, Bc__Frame *frame);
 /* The least processor time of a gateway of the region that lends, keeps and reads for others. */
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -79,11 +79,6 @@
 	r->nodes[at] = node;
 }
 
-static bool is_near(const struct gateway *g, const struct gateway_peer *p)
-{
-	return str_eq_cstr(g->settings.region, p->region);
-}
-
 static struct readers list_readers(const struct gateway *g)
 {
 	struct readers r = {.n = 0};
@@ -96,7 +91,7 @@
 	if (!g->draining && g->settings.cpu_millis >= least)
 		readers_add(&r, g->node);
 	for (p = g->peer_states; p; p = p->hh.next) {
-		if (!p->draining && p->cpu_millis >= least && is_near(g, p))
+		if (!p->draining && p->cpu_millis >= least && gateway_is_near(g, p))
 			readers_add(&r, p->node);
 	}
 	return r;
@@ -146,7 +141,7 @@
 	const struct gateway_peer *p;
 
 	for (p = g->peer_states; p; p = p->hh.next) {
-		if (is_near(g, p) && !is_reader(r, p->node))
+		if (gateway_is_near(g, p) && !is_reader(r, p->node))
 			return true;
 	}
 	return false;
@@ -334,7 +329,8 @@
 	frame.body_case = BC__FRAME__BODY_TABLE_COPY;
 	frame.table_copy = &msg;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
-		if (!is_near(g, p) || is_reader(&r, p->node) || reader_of(&r, p->node) != g->node)
+		if (!gateway_is_near(g, p) || is_reader(&r, p->node) ||
+		    reader_of(&r, p->node) != g->node)
 			continue;
 		ctr_inc(&ctr_pushed);
 		gateway_send(g, p->node, &frame);
