broker: the hold for unknown slots ends when the last member has reported

The lease needs a majority. If the third member's report came a moment after it, broker_hold_unknown() held cold upstreams at nothing for NODE_MAX_TIMEOUT_MS, also after that report; broker.h told callers to set the hold to the present first, and the caller did not.

Ruled out: change of the broker (one election), slow upstreams (ledger: 8 ms), overload (the other region served the same load).

The caller now says whether all have reported or the others are gone; requests of those that are gone may still run, so that hold lasts as before. Test: prop_broker "the hold ends with the last report", mutant broker_keep_hold. Failed scripted runs can keep their logs (CLUSTER_KEEP).

--- a/src/process/broker.h
+++ b/src/process/broker.h
@@ -160,10 +160,10 @@
  */
 void broker_hold_unknown(struct broker *b, clk_ms until);
 /*
- * The missing members have reported or are known to be gone. If all have reported, call
- * broker_hold_unknown() with the present time before it; the hold then ends with the next tick.
+ * The missing members have reported or are known to be gone. If all have reported, the hold ends
+ * with the next tick: nothing unknown is left. Otherwise it lasts until its time.
  */
-void broker_clear_unknown(struct broker *b);
+void broker_clear_unknown(struct broker *b, bool all_reported);
 
 void broker_ask(struct broker *b, clk_ms now, const struct broker_ask *ask);
 /* The entry no longer waits for this ask. */
--- a/src/process/broker_slot.c
+++ b/src/process/broker_slot.c
@@ -176,9 +176,11 @@
 	b->unknown_until = until;
 }
 
-void broker_clear_unknown(struct broker *b)
+void broker_clear_unknown(struct broker *b, bool all_reported)
 {
 	b->unknown_cleared = true;
+	if (all_reported && !MUTANT(broker_keep_hold))
+		b->unknown_until = 0;
 }
 
 void broker_node_gone(struct broker *b, clk_ms now, uint64_t node)
--- a/src/process/svc_lease.c
+++ b/src/process/svc_lease.c
@@ -201,9 +201,18 @@
 		s->reported[s->n_reported++] = from;
 }
 
-/* Whether routers that left the cell shortly before may still use slots nobody reports. */
-static bool left_members_unknown(const struct node *n, clk_ms now)
+/* What the new broker knows of the slots that entries got from the brokers before it. */
+enum reports {
+	REPORTS_MISSING,
+	REPORTS_REST_GONE, /* requests of those that are gone may still run at upstreams */
+	REPORTS_COMPLETE,
+};
+
+/* Of routers that left the cell shortly before and may still use slots nobody reports. */
+static enum reports reports_of_left(const struct node *n, clk_ms now)
 {
+	enum reports all = REPORTS_COMPLETE;
+
 	for (size_t i = 0; i < n->n_left && i < NODE_MAX_LEFT; i++) {
 		const struct node_left *l = &n->left[i];
 		Bc__Member m = BC__MEMBER__INIT;
@@ -212,36 +221,47 @@
 		m.incarnation = (char *)l->incarnation;
 		m.ip = (char *)l->ip;
 		m.peer_port = l->peer_port;
-		if (now - l->since < NODE_MAX_TIMEOUT_MS &&
-		    !node_is_member(n, member_node(m.id, m.incarnation)) &&
-		    !lead_member_gone(n->lead, now, &m))
-			return true;
+		if (now - l->since >= NODE_MAX_TIMEOUT_MS ||
+		    node_is_member(n, member_node(m.id, m.incarnation)))
+			continue;
+		if (!lead_member_gone(n->lead, now, &m))
+			return REPORTS_MISSING;
+		all = REPORTS_REST_GONE;
 	}
-	return false;
+	return all;
 }
 
-static bool all_reported(const struct svc *s, clk_ms now)
+static enum reports reports_of_all(const struct svc *s, clk_ms now)
 {
 	const struct node *n = s->node;
+	enum reports all = reports_of_left(n, now);
 
-	if (s->reports_overflow || left_members_unknown(n, now))
-		return false;
-	for (size_t i = 0; i < n->cell->n_members; i++) {
+	if (s->reports_overflow)
+		return REPORTS_MISSING;
+	for (size_t i = 0; all != REPORTS_MISSING && i < n->cell->n_members; i++) {
 		const Bc__Member *m = n->cell->members[i];
 		uint64_t node = member_node(m->id, m->incarnation);
 
-		if (node != n->self && !has_reported(s, node) && !lead_member_gone(n->lead, now, m))
-			return false;
+		if (node == n->self || has_reported(s, node))
+			continue;
+		all = lead_member_gone(n->lead, now, m) ? REPORTS_REST_GONE : REPORTS_MISSING;
 	}
-	return true;
+	return all;
 }
 
 static void clear_unknown_if_reported(struct svc *s, clk_ms now)
 {
-	if (!s->unknown_slots || !all_reported(s, now))
+	enum reports all;
+
+	if (!s->unknown_slots)
+		return;
+	all = reports_of_all(s, now);
+	if (all == REPORTS_MISSING)
 		return;
 	s->unknown_slots = false;
-	broker_clear_unknown(s->broker);
+	log_info(&log, "slots of %s known: %s", s->name,
+		 all == REPORTS_COMPLETE ? "all members reported" : "the others are gone");
+	broker_clear_unknown(s->broker, all == REPORTS_COMPLETE);
 }
 
 static void adopt_reports(struct svc *s, clk_ms now)
@@ -299,7 +319,7 @@
 	}
 	adopt_reports(s, now);
 	svc_record_resend(s, now);
-	if (!all_reported(s, now)) {
+	if (reports_of_all(s, now) == REPORTS_MISSING) {
 		s->unknown_slots = true;
 		broker_hold_unknown(s->broker, now + NODE_MAX_TIMEOUT_MS);
 	}
--- a/test/prop_broker.cc
+++ b/test/prop_broker.cc
@@ -33,6 +33,7 @@
 	"broker_ramp_by_old_slots",
 	"broker_ignore_slow",
 	"broker_ignore_unknown",
+	"broker_keep_hold",
 	"broker_move_despite_unknown",
 	"broker_ignore_adopted",
 	"broker_grant_draining",
@@ -575,7 +576,7 @@
 			if (s.second.unknown && !s.second.node_gone)
 				return;
 		}
-		broker_clear_unknown(b);
+		broker_clear_unknown(b, false);
 	}
 
 	/* ---- decisions ---- */
@@ -752,7 +753,7 @@
 		broker_hold_unknown(b, until);
 		broker_tick(b, until + 1);
 		size_t held = broker_slots_in_use(b, partition);
-		broker_clear_unknown(b);
+		broker_clear_unknown(b, false);
 		broker_tick(b, until - 1);
 		size_t before_until = broker_slots_in_use(b, partition);
 		broker_tick(b, until);
@@ -764,6 +765,34 @@
 		CHECK(after == 0);
 	});
 
+	/*
+	 * Guards against a new broker that keeps cold upstreams idle for the longest deadline because
+	 * one member's report came a moment after the majority's.
+	 */
+	ok &= rc::check("the hold for unknown slots ends with the last report", []() {
+		clk_ms late = *rc::gen::inRange<clk_ms>(1, 100);
+		broker_options opts = broker_defaults;
+		broker *b = broker_create(&opts, 1, 1);
+		broker_upstream u = {1, 2, 1, BROKER_COLD};
+		broker_decision d;
+		Ask ask = {};
+
+		ask.node = 1;
+		ask.id = 1;
+		ask.deadline = 2000;
+		broker_set_upstream(b, 0, &u);
+		broker_hold_unknown(b, 10000);
+		broker_ask(b, 0, &ask);
+		bool early = broker_next(b, 0, &d);
+		broker_clear_unknown(b, true);
+		broker_tick(b, late);
+		bool granted = broker_next(b, late, &d) && d.kind == BROKER_GRANT;
+
+		broker_destroy(b);
+		CHECK(!early);
+		CHECK(granted);
+	});
+
 	/* Guards against a broker that holds every promise by refusing or delaying everything. */
 	ok &= rc::check("with healthy upstreams every ask is granted", []() {
 		unsigned n = *rc::gen::inRange(1, 200);
--- a/test/scripts/deployment.sh
+++ b/test/scripts/deployment.sh
@@ -19,6 +19,8 @@
 	if [ "$code" -ne 0 ]; then
 		echo "last lines of the routers:" >&2
 		tail -q -n 5 "$CLUSTER_DIR"/meseta-*.log "$CLUSTER_DIR"/pacifico-*.log >&2
+		# CLUSTER_KEEP names a directory that takes the logs of a failed run.
+		[ -z "${CLUSTER_KEEP:-}" ] || cp -r "$CLUSTER_DIR" "$CLUSTER_KEEP"
 	fi
 	rm -rf "$CLUSTER_DIR"
 	exit "$code"
