--- a/test/prop_broker.cc
+++ b/test/prop_broker.cc
@@ -25,32 +25,19 @@
 {
 
 const char *const mutants[] = {
-	"broker_over_limit",
-	"broker_ignore_cold",
-	"broker_ignore_restart",
-	"broker_ignore_failure",
-	"broker_return_warm",
-	"broker_ramp_by_old_slots",
-	"broker_ignore_slow",
-	"broker_ignore_unknown",
-	"broker_keep_hold",
-	"broker_move_despite_unknown",
-	"broker_ignore_adopted",
-	"broker_grant_draining",
-	"broker_grant_during_move",
-	"broker_keep_old_queue",
-	"broker_forget_overdue",
-	"broker_forget_split",
-	"broker_free_at_send_by",
-	"broker_no_dedup",
-	"broker_no_expiry",
-	"broker_grant_after_deadline",
-	"broker_cancel_ignored",
-	"broker_no_budget",
-	"broker_hedge_early",
-	"broker_hedge_twice",
-	"broker_hedge_same_upstream",
-	nullptr,
+	"broker_over_limit",	      "broker_ignore_cold",
+	"broker_ignore_restart",      "broker_ignore_failure",
+	"broker_return_warm",	      "broker_ramp_by_old_slots",
+	"broker_ignore_slow",	      "broker_ignore_unknown",
+	"broker_keep_hold",	      "broker_move_despite_unknown",
+	"broker_ignore_adopted",      "broker_grant_draining",
+	"broker_grant_during_move",   "broker_keep_old_queue",
+	"broker_forget_overdue",      "broker_forget_split",
+	"broker_free_at_send_by",     "broker_no_dedup",
+	"broker_no_expiry",	      "broker_grant_after_deadline",
+	"broker_cancel_ignored",      "broker_no_budget",
+	"broker_hedge_early",	      "broker_hedge_twice",
+	"broker_hedge_same_upstream", nullptr,
 };
 
 /* The name of the struct alone means the function. */
@@ -766,8 +753,8 @@
 	});
 
 	/*
-	 * Guards against a new broker that keeps cold upstreams idle for the longest deadline because
-	 * one member's report came a moment after the majority's.
+	 * Guards against a new broker that keeps cold upstreams idle for the longest deadline
+	 * because one member's report came a moment after the majority's.
 	 */
 	ok &= rc::check("the hold for unknown slots ends with the last report", []() {
 		clk_ms late = *rc::gen::inRange<clk_ms>(1, 100);
