keeper: an upstream that failed is asked whether it answers again

Cause: grants and releases that stay without an answer for 700 ms mark an upstream as failing, and only an answered grant ended that. An upstream whose keys had all moved away got no grants any more, so it stayed without keys for the rest of the keeper's term, however well it was (also after a restart, since its new holder was only made for the next grant).

Test: unit_keeper upstream_that_answers_again_gets_keys, failed first; mutant keeper_leave_failing. Checks go to the service's health path, over a connection of their own; the pause doubles if the upstream fails again soon.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -44,6 +44,14 @@
 	return slots_capacity(g->slots, service, upstream);
 }
 
+static struct str health_path_of(void *data, const char *service)
+{
+	struct gateway *g = data;
+	const struct topo_service *s = g->topo ? topo_service(g->topo, str_from(service)) : NULL;
+
+	return s ? s->health_path : STR_NULL;
+}
+
 static void on_owners(void *data, const char *service)
 {
 	struct gateway *g = data;
@@ -89,6 +97,7 @@
 		.node = g->node,
 		.data = g,
 		.capacity = capacity_of,
+		.health_path = health_path_of,
 		.on_owners = on_owners,
 		.on_role = on_role,
 		.peers_agree = gateway_peers_agree,
--- a/src/process/keeper.h
+++ b/src/process/keeper.h
@@ -35,6 +35,8 @@
 	void *data;
 	/* Requests per second that an upstream of the service can answer. */
 	double (*capacity)(void *data, const char *service, uint64_t upstream);
+	/* Path that an upstream of the service answers when it is well. */
+	struct str (*health_path)(void *data, const char *service);
 	/* Owners changed; a view of all keys. `keeping`: decided here and not heard from a peer. */
 	void (*on_owners)(void *data, const char *service);
 	/* This gateway became keeper or stopped being it. */
--- /dev/null
+++ b/src/process/keeper_check.c
@@ -0,0 +1,98 @@
+/*
+ * Upstreams that do not answer grants and releases: their keys move to others, and they are asked
+ * whether they answer again. Without keys nothing else would be sent to them.
+ */
+#include <stdio.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+#include "base/mutant.h"
+#include "process/keeper_priv.h"
+
+/* Without an answer for this long an upstream's keys are moved. */
+#define FAILING_MS 700
+/*
+ * Pause between checks. It doubles up to the second figure each time that an upstream fails soon
+ * after it answered a check: each attempt with keys leaves them without an owner until its lease
+ * has ended.
+ */
+#define CHECK_PAUSE_MS 500
+#define CHECK_PAUSE_MAX_MS 8000
+#define SOON_MS 10000
+/* Twice the time that is allowed for a grant's connection. */
+#define CHECK_TIMEOUT_MS 800
+
+static const struct log log = {"keeper"};
+CTR(ctr_failed, "key_calls_failed_total", "Grants and releases without a good answer.");
+CTR(ctr_checks, "key_checks_total", "Checks whether a failing upstream answers again.");
+
+bool keeper_holder_ok(const struct keeper *k, uint64_t num, clk_ms now)
+{
+	const struct key_holder *h = keeper_holder(k, num);
+
+	return !h || !h->failing_since || now - h->failing_since < FAILING_MS;
+}
+
+void keeper_note_failure(struct key_holder *h, clk_ms now)
+{
+	bool again = h->recovered_at && now - h->recovered_at < SOON_MS;
+
+	ctr_inc(&ctr_failed);
+	if (h->failing_since)
+		return;
+	h->failing_since = now;
+	h->check_pause = again ? h->check_pause * 2 : CHECK_PAUSE_MS;
+	if (h->check_pause > CHECK_PAUSE_MAX_MS)
+		h->check_pause = CHECK_PAUSE_MAX_MS;
+	h->check_due = now + FAILING_MS + h->check_pause;
+}
+
+static void on_check(void *data, const struct upconn_answer *a)
+{
+	struct key_holder *h = data;
+	clk_ms now = clk_now();
+
+	h->check = NULL;
+	h->check_due = now + h->check_pause;
+	if (!h->failing_since || a->result != UPCONN_OK || a->status != 200)
+		return;
+	log_info(&log, "upstream %016llx of %s answers again after %lld ms",
+		 (unsigned long long)h->num, h->keeper->service,
+		 (long long)(now - h->failing_since));
+	h->failing_since = 0;
+	h->recovered_at = now;
+	keeper_fleet_changed(h->keeper);
+}
+
+static void check(struct key_holder *h, struct str path)
+{
+	snprintf(h->check_path, sizeof(h->check_path), "%.*s", STR_ARG(path));
+	h->check_req = (struct upconn_request){
+		.method = STR_LIT("GET"),
+		.path = str_from(h->check_path),
+		.timeout = CHECK_TIMEOUT_MS,
+	};
+	ctr_inc(&ctr_checks);
+	h->check = upconn_send(h->releases, &h->check_req, on_check, h);
+}
+
+void keeper_check_failing(struct keeper *k, clk_ms now)
+{
+	struct str path = k->env.health_path(k->env.data, k->service);
+	struct key_holder *h;
+	struct key_holder *tmp;
+
+	if (!path.len || MUTANT(keeper_leave_failing))
+		return;
+	HASH_ITER (hh, k->holders, h, tmp) {
+		const struct fleet_upstream *u = fleet_find(k->env.fleet, h->num);
+
+		if (!h->failing_since || h->check || now < h->check_due || !u ||
+		    !fleet_is_usable(u, now))
+			continue;
+		if (u->started == h->started)
+			check(h, path);
+		else
+			keeper_holder_now(k, h->num);
+	}
+}
--- a/src/process/keeper_hold.c
+++ b/src/process/keeper_hold.c
@@ -28,13 +28,9 @@
  * them, or it would refuse what they still send: GATEWAY_MAP_MS and a hop between regions.
  */
 #define MAP_LEAD_MS 60
-/* Without an answer for this long an upstream's keys are moved. */
-#define FAILING_MS 700
-
 static const struct log log = {"keeper"};
 CTR(ctr_grants, "key_grants_total", "Grants and renewals of keys sent to upstreams.");
 CTR(ctr_releases, "key_releases_total", "Releases of keys sent to upstreams.");
-CTR(ctr_failed, "key_calls_failed_total", "Grants and releases without a good answer.");
 
 clk_ms keeper_hold_time(const struct keeper *k)
 {
@@ -48,7 +44,7 @@
 
 /* ---- upstreams ------------------------------------------------------------------------------ */
 
-static struct key_holder *holder_find(const struct keeper *k, uint64_t num)
+struct key_holder *keeper_holder(const struct keeper *k, uint64_t num)
 {
 	struct key_holder *h;
 
@@ -109,7 +105,7 @@
 
 static struct key_holder *holder_get(struct keeper *k, uint64_t num)
 {
-	struct key_holder *h = holder_find(k, num);
+	struct key_holder *h = keeper_holder(k, num);
 	const struct fleet_upstream *u = fleet_find(k->env.fleet, num);
 	struct upconn_options opts = {
 		.max_idle = 1,
@@ -125,6 +121,7 @@
 	if (!h)
 		abort();
 	h->num = num;
+	h->keeper = k;
 	h->started = u->started;
 	h->grants = upconn_pool_create_with(k->env.loop, u->ip, u->port, &opts);
 	opts.max_idle = 0;
@@ -133,8 +130,7 @@
 	return h;
 }
 
-/* The holder of the process that is registered now: connections to an earlier one are of no use. */
-static struct key_holder *holder_now(struct keeper *k, uint64_t num)
+struct key_holder *keeper_holder_now(struct keeper *k, uint64_t num)
 {
 	const struct fleet_upstream *u = fleet_find(k->env.fleet, num);
 	struct key_holder *h = holder_get(k, num);
@@ -146,13 +142,6 @@
 	return holder_get(k, num);
 }
 
-bool keeper_holder_ok(const struct keeper *k, uint64_t num, clk_ms now)
-{
-	const struct key_holder *h = holder_find(k, num);
-
-	return !h || !h->failing_since || now - h->failing_since < FAILING_MS;
-}
-
 /*
  * Only mutants take a sign for an end. A connection that is refused or reset proves nothing: an
  * upstream resets what exceeds its limit, which shrinks while its queue is long. And a registration
@@ -173,13 +162,6 @@
 	r->call = NULL;
 }
 
-static void note_failure(struct key_holder *h, clk_ms now)
-{
-	ctr_inc(&ctr_failed);
-	if (!h->failing_since)
-		h->failing_since = now;
-}
-
 static void on_granted(struct keeper *k, struct key_range *r, const struct key_call *c, clk_ms now)
 {
 	bool first = r->phase != KEY_HELD;
@@ -234,7 +216,7 @@
 
 static void on_grant_answer(struct keeper *k, struct key_call *c, const struct upconn_answer *a)
 {
-	struct key_holder *h = holder_find(k, c->holder);
+	struct key_holder *h = keeper_holder(k, c->holder);
 	struct key_range *r = c->range;
 	clk_ms now = clk_now();
 
@@ -255,7 +237,7 @@
 		log_warn(&log, "grant of keys of %s to %016llx: %s, status %d", k->service,
 			 (unsigned long long)c->holder, upconn_result_name(a->result), a->status);
 		if (h)
-			note_failure(h, now);
+			keeper_note_failure(h, now);
 		if (!r)
 			return;
 		if (a->sent)
@@ -307,7 +289,7 @@
 
 static void on_release_answer(struct keeper *k, struct key_call *c, const struct upconn_answer *a)
 {
-	struct key_holder *h = holder_find(k, c->holder);
+	struct key_holder *h = keeper_holder(k, c->holder);
 	struct key_range *r = c->range;
 	clk_ms now = clk_now();
 
@@ -317,7 +299,7 @@
 		log_warn(&log, "release of keys of %s by %016llx: %s, status %d", k->service,
 			 (unsigned long long)c->holder, upconn_result_name(a->result), a->status);
 		if (h && a->result != UPCONN_TIMEOUT)
-			note_failure(h, now);
+			keeper_note_failure(h, now);
 		if (r)
 			r->due = now + RETRY_MS;
 		return;
@@ -438,7 +420,7 @@
 		r->due = now + MAP_LEAD_MS;
 		keeper_publish(k);
 	}
-	h = holder_find(k, r->former);
+	h = keeper_holder(k, r->former);
 	if (holder_seems_dead(h, fleet_find(k->env.fleet, r->former))) {
 		taken(k, r, STR_NULL, "mutant");
 		return;
@@ -451,7 +433,7 @@
 		taken(k, r, STR_NULL, "mutant");
 		return;
 	}
-	h = holder_now(k, r->former);
+	h = keeper_holder_now(k, r->former);
 	if (r->call || !h || now < r->due)
 		return;
 	if (r->raise) {
@@ -463,7 +445,7 @@
 
 static void give_step(struct keeper *k, struct key_range *r, clk_ms now)
 {
-	struct key_holder *h = holder_now(k, r->owner);
+	struct key_holder *h = keeper_holder_now(k, r->owner);
 
 	if (r->call || now < r->due || !h || h->granting)
 		return;
@@ -502,6 +484,7 @@
 
 void keeper_hold_tick(struct keeper *k, clk_ms now)
 {
+	keeper_check_failing(k, now);
 	for (struct key_range *r = k->ranges; r; r = r->next) {
 		/* What the store does not know yet must not happen. */
 		if (r->serial > k->committed && !MUTANT(keeper_act_early)) {
--- a/src/process/keeper_priv.h
+++ b/src/process/keeper_priv.h
@@ -11,6 +11,8 @@
 #include "process/keeper.h"
 
 #define KEEPER_HANDOVER_BYTES 128
+/* Longest path of a health check, with its end. */
+#define KEEPER_PATH_BYTES 256
 /* After this time without an answer of the store the keeper needs the word of its peers. */
 #define KEEPER_STORE_SILENCE_MS 2000
 /* The keeper watches the row of its role in calls of this length. */
@@ -81,6 +83,13 @@
 	int64_t started;	      /* run of its process that the pools talk to */
 	bool granting;		      /* a grant is under way */
 	clk_ms failing_since;	      /* 0: the last call was answered */
+	struct keeper *keeper;
+	struct upconn_call *check; /* whether it answers again */
+	struct upconn_request check_req;
+	char check_path[KEEPER_PATH_BYTES];
+	clk_ms check_due;
+	clk_ms check_pause;
+	clk_ms recovered_at; /* a check was answered, 0: never */
 	UT_hash_handle hh;
 };
 
@@ -174,7 +183,13 @@
 void keeper_hold_clear(struct keeper *k);
 void keeper_range_forget_call(struct key_range *r);
 /* Whether the upstream may own keys, as far as the keeper can reach it. */
+struct key_holder *keeper_holder(const struct keeper *k, uint64_t num);
+/* The holder of the process that is registered now: connections to an earlier one are of no use. */
+struct key_holder *keeper_holder_now(struct keeper *k, uint64_t num);
 bool keeper_holder_ok(const struct keeper *k, uint64_t num, clk_ms now);
+void keeper_note_failure(struct key_holder *h, clk_ms now);
+/* Asks upstreams that failed whether they answer again. */
+void keeper_check_failing(struct keeper *k, clk_ms now);
 /* Longest time that a lease may still run after its last grant was sent. */
 clk_ms keeper_lease_end(const struct keeper *k, clk_ms sent);
 clk_ms keeper_hold_time(const struct keeper *k);
--- a/test/unit_keeper.c
+++ b/test/unit_keeper.c
@@ -329,6 +329,11 @@
 	unsigned long long fence;
 	long long hold;
 
+	if (str_eq_cstr(req->method, "GET")) {
+		if (!s->mute)
+			reply(req, 200);
+		return;
+	}
 	ck_assert_int_eq(sscanf(req->body.ptr, "%u %u %llu %lld", &from, &to, &fence, &hold), 4);
 	if (hold && s->late) {
 		grant_later(s, from, to, fence, now + hold);
@@ -415,6 +420,11 @@
 {
 }
 
+static struct str health_path(void *data, const char *service)
+{
+	return STR_LIT("/health");
+}
+
 static struct keeper *new_keeper(struct world *w)
 {
 	struct keeper_env env = {
@@ -427,6 +437,7 @@
 		.row_bytes = w->meta.row_bytes ? w->meta.row_bytes : 4096,
 		.data = w,
 		.capacity = capacity,
+		.health_path = health_path,
 		.on_owners = on_owners,
 		.on_role = on_role,
 		.peers_agree = peers_agree,
@@ -628,6 +639,50 @@
 }
 END_TEST
 
+static size_t keys_of(const struct world *w, const char *id)
+{
+	size_t n = 0;
+
+	for (uint32_t key = 0; key < KEY_SPACE; key++)
+		n += keeper_owner(w->keepers[0], key) == fleet_num(str_from(id));
+	return n;
+}
+
+static bool second_has_none(void *data)
+{
+	return served_by_first(data) && keys_of(data, "u2") == 0;
+}
+
+static bool second_has_some(void *data)
+{
+	struct world *w = data;
+
+	/* Requests for all keys, so that a plan has something to balance. */
+	for (uint32_t key = 0; key < KEY_SPACE; key += 7)
+		keeper_note_request(w->keepers[0], key);
+	return served_by_first(w) && keys_of(w, "u2") > 0;
+}
+
+/*
+ * An upstream cannot be reached for long enough to lose all keys, then answers again. Guards
+ * against leaving it without keys for good: nothing was sent to it any more that it could answer
+ * (shalbagan-gw-grown scale-1, seed 818407947318: all upstreams of a region stayed idle).
+ */
+START_TEST(upstream_that_answers_again_gets_keys)
+{
+	static struct world w;
+
+	start(&w);
+	ingress_destroy(w.servers[2].ingress);
+	w.servers[2].ingress = NULL;
+	ck_assert(unit_run_until(w.loop, second_has_none, &w));
+	server_listen(&w.servers[2]);
+	ck_assert(unit_run_until(w.loop, second_has_some, &w));
+	check_audit(&w);
+	teardown(&w);
+}
+END_TEST
+
 /* Another process, which knows nothing of the first one, listens at the address of an upstream. */
 static void replace_process(struct server *s)
 {
@@ -908,11 +963,17 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"keeper_refused_is_dead",    "keeper_skip_release",
-	"keeper_forget_owner",	     "keeper_act_early",
-	"keeper_never_isolated",     "keeper_keep_fence",
-	"keeper_restart_is_release", "keeper_any_row",
-	"keeper_stay_trimmed",	     NULL,
+	"keeper_refused_is_dead",
+	"keeper_skip_release",
+	"keeper_forget_owner",
+	"keeper_act_early",
+	"keeper_never_isolated",
+	"keeper_keep_fence",
+	"keeper_restart_is_release",
+	"keeper_any_row",
+	"keeper_leave_failing",
+	"keeper_stay_trimmed",
+	NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -920,6 +981,7 @@
 	tcase_add_test(tc, keys_are_granted_and_renewed);
 	tcase_add_test(tc, leaving_upstream_hands_its_keys_over);
 	tcase_add_test(tc, unreachable_upstream_keeps_its_lease);
+	tcase_add_test(tc, upstream_that_answers_again_gets_keys);
 	tcase_add_test(tc, new_process_gets_new_fences);
 	tcase_add_test(tc, restarted_upstream_is_asked);
 	tcase_add_test(tc, unanswered_orders_count);
