link: bulk over a full link between regions is refused at once

Uploads of 60 KB whose key is owned across the link (100/s, 48 Mbit/s) and answers (24 Mbit/s) are more than the link of 60 Mbit/s carries.

process/link.c decides from the time that lenders of the other region need for their first answer; bodies under 16 KB always pass, and a tenth of the bulk always does. Test: unit_link replays the load (42 gateways, FIFO of 60 Mbit/s): over nine tenths of the asks late without it, under 5 % with it, link used to 80 % and more; mutant link_never_full.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -183,6 +183,7 @@
 		.topo = current_topo,
 		.note_request = note_request,
 		.take_repeat = take_repeat,
+		.may_cross = gateway_may_cross,
 		.on_misplaced = on_misplaced,
 		.on_crash = on_crash,
 	};
@@ -443,6 +444,7 @@
 		.send = gateway_send,
 		.lender = gateway_lender,
 		.owner = owner_of,
+		.on_answer_time = gateway_note_answer,
 		.on_key = gateway_on_key,
 	};
 	struct forward_env env;
--- /dev/null
+++ b/src/process/gateway_link.c
@@ -0,0 +1,60 @@
+/* The links to other regions, as this gateway sees them, and which of them a request crosses. */
+#include "process/gateway_priv.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/ctr.h"
+#include "base/log.h"
+
+static const struct log log = {"links"};
+CTR(ctr_refused, "link_refused_total", "Large requests refused because a link was full.");
+
+static struct link *link_to(struct gateway *g, const char *region, clk_ms now)
+{
+	struct gateway_link *l;
+
+	for (size_t i = 0; i < g->n_links; i++) {
+		if (strcmp(g->links[i].region, region) == 0)
+			return &g->links[i].link;
+	}
+	if (g->n_links == GATEWAY_MAX_LINKS)
+		return NULL;
+	l = &g->links[g->n_links++];
+	snprintf(l->region, sizeof(l->region), "%s", region);
+	link_init(&l->link, now);
+	return &l->link;
+}
+
+void gateway_note_answer(void *gateway, uint64_t node, clk_ms ms)
+{
+	struct gateway *g = gateway;
+	clk_ms now = clk_now();
+	const struct gateway_peer *p = gateway_find_peer(g, node);
+	struct link *l = p && !gateway_is_near(g, p) ? link_to(g, p->region, now) : NULL;
+
+	if (l)
+		link_note(l, now, ms);
+}
+
+bool gateway_may_cross(void *gateway, const struct topo_service *service, uint32_t key,
+		       struct str region, size_t bytes)
+{
+	struct gateway *g = gateway;
+	clk_ms now = clk_now();
+	char name[FLEET_NAME_BYTES];
+	struct link *l;
+
+	if (service->keyed)
+		region = gateway_owner_region(g, service->name, key);
+	if (bytes < LINK_BULK_BYTES || !region.len || str_eq(region, g->settings.region))
+		return true;
+	snprintf(name, sizeof(name), "%.*s", STR_ARG(region));
+	l = link_to(g, name, now);
+	if (!l || link_admits(l, now, bytes))
+		return true;
+	ctr_inc(&ctr_refused);
+	log_info(&log, "the link to %s is full: %lld ms added, %zu bytes not sent", name,
+		 (long long)link_delay(l, now), bytes);
+	return false;
+}
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -30,7 +30,7 @@
 static const struct log log = {"peers"};
 CTR(ctr_pulses, "pulses_total", "Pulses sent to other gateways.");
 
-static struct gateway_peer *peer_state(struct gateway *g, uint64_t node)
+struct gateway_peer *gateway_find_peer(struct gateway *g, uint64_t node)
 {
 	struct gateway_peer *p;
 
@@ -133,7 +133,7 @@
 static void on_frame(void *data, const struct peer_info *from, const Bc__Frame *frame)
 {
 	struct gateway *g = data;
-	struct gateway_peer *p = peer_state(g, from->node);
+	struct gateway_peer *p = gateway_find_peer(g, from->node);
 
 	switch (frame->body_case) {
 	case BC__FRAME__BODY_PULSE:
@@ -160,7 +160,7 @@
 static void on_up(void *data, const struct peer_info *peer)
 {
 	struct gateway *g = data;
-	struct gateway_peer *p = peer_state(g, peer->node);
+	struct gateway_peer *p = gateway_find_peer(g, peer->node);
 
 	if (!p) {
 		p = calloc(1, sizeof(*p));
@@ -180,7 +180,7 @@
 static void on_down(void *data, const struct peer_info *peer)
 {
 	struct gateway *g = data;
-	struct gateway_peer *p = peer_state(g, peer->node);
+	struct gateway_peer *p = gateway_find_peer(g, peer->node);
 
 	if (p) {
 		HASH_DEL(g->peer_states, p);
@@ -259,19 +259,32 @@
 	return best;
 }
 
+static const struct fleet_upstream *owner_of(struct gateway *g, struct str service, uint32_t key)
+{
+	struct gateway_service *s = gateway_service(g, service);
+	uint64_t owner = s->keeper ? keeper_owner(s->keeper, key) : 0;
+
+	return owner ? fleet_find(g->fleet, owner) : NULL;
+}
+
+struct str gateway_owner_region(struct gateway *g, struct str service, uint32_t key)
+{
+	const struct fleet_upstream *u = owner_of(g, service, key);
+
+	return u ? gwset_region(&g->settings, str_from(u->failure_domain)) : STR_NULL;
+}
+
 /* Each upstream of a service divided by key has its own lender, near to it. */
 static uint64_t lender_of_key(struct gateway *g, const struct slot_pool *pool, uint32_t key)
 {
-	struct gateway_service *s = gateway_service(g, str_from(pool->service));
-	uint64_t owner = s->keeper ? keeper_owner(s->keeper, key) : 0;
-	const struct fleet_upstream *u = owner ? fleet_find(g->fleet, owner) : NULL;
-	struct str region = u ? gwset_region(&g->settings, str_from(u->failure_domain)) : STR_NULL;
+	const struct fleet_upstream *u = owner_of(g, str_from(pool->service), key);
+	struct str region = gateway_owner_region(g, str_from(pool->service), key);
 	char name[FLEET_NAME_BYTES];
 
 	if (!region.len)
 		return 0;
 	snprintf(name, sizeof(name), "%.*s", STR_ARG(region));
-	return highest_weight(g, name, owner);
+	return highest_weight(g, name, u->num);
 }
 
 uint64_t gateway_lender(void *gateway, const struct slot_pool *pool, uint32_t key)
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -16,6 +16,7 @@
 #include "process/fleet.h"
 #include "process/gateway.h"
 #include "process/keeper.h"
+#include "process/link.h"
 #include "process/quarantine.h"
 #include "process/retry.h"
 #include "process/slots.h"
@@ -28,6 +29,14 @@
 /* Requests for keys in one report to the keeper. */
 #define GATEWAY_MAX_SEEN 512
 
+/* Other regions whose links are watched; a deployment has a handful of regions. */
+#define GATEWAY_MAX_LINKS 16
+
+struct gateway_link {
+	char region[FLEET_NAME_BYTES];
+	struct link link;
+};
+
 /* What a peer said with its last pulse. */
 struct gateway_peer {
 	uint64_t node;
@@ -126,6 +135,8 @@
 	struct timer map_timer;
 	clk_ms started;
 	clk_ms last_pulse_far;
+	struct gateway_link links[GATEWAY_MAX_LINKS];
+	size_t n_links;
 	clk_ms settings_checked;
 	int64_t settings_mtime;
 	bool registered;
@@ -143,6 +154,14 @@
 /* gateway_peer.c */
 bool gateway_peers_open(struct gateway *g, struct err *err);
 /* State of this gateway to the peers; `everyone` includes those of other regions. */
+struct gateway_peer *gateway_find_peer(struct gateway *g, uint64_t node);
+/* Region of the upstream that owns the key, empty if that is not known. */
+struct str gateway_owner_region(struct gateway *g, struct str service, uint32_t key);
+/* Time until a message to a gateway was answered, or that has passed without an answer. */
+void gateway_note_answer(void *gateway, uint64_t node, clk_ms ms);
+/* Whether the link that the request has to cross, if any, has room for its body. */
+bool gateway_may_cross(void *gateway, const struct topo_service *service, uint32_t key,
+		       struct str region, size_t bytes);
 void gateway_send_pulse(struct gateway *g, bool everyone);
 /* Whether the peer is in the region of this gateway. */
 bool gateway_is_near(const struct gateway *g, const struct gateway_peer *p);
--- /dev/null
+++ b/src/process/link.c
@@ -0,0 +1,66 @@
+#include "process/link.h"
+
+#include "base/mutant.h"
+
+/* The fastest answer of a window counts: others waited for a busy process. */
+#define WINDOW_MS 300
+/* The fastest answer of an idle link is forgotten slowly, since the way may have changed. */
+#define BASE_MS 60000
+/*
+ * Added time at which bulk begins to be refused, and at which only the least share passes. The
+ * second one is below the time that a lender in another region has for its answer (slots.c).
+ */
+#define DELAY_LOW_MS 40
+#define DELAY_HIGH_MS 180
+/* Some bulk always passes: the answers may be slow for another reason than the link. */
+#define LEAST_SHARE 0.1
+
+void link_init(struct link *l, clk_ms now)
+{
+	*l = (struct link){.window = now, .least = {-1, -1}, .base = -1, .credit = 1.0};
+}
+
+static void advance(struct link *l, clk_ms now)
+{
+	if (now - l->window < WINDOW_MS)
+		return;
+	l->least[1] = now - l->window < 2 * WINDOW_MS ? l->least[0] : -1;
+	l->least[0] = -1;
+	l->window = now;
+}
+
+void link_note(struct link *l, clk_ms now, clk_ms ms)
+{
+	advance(l, now);
+	if (l->least[0] < 0 || ms < l->least[0])
+		l->least[0] = ms;
+	if (l->base < 0 || ms <= l->base || now - l->base_at > BASE_MS) {
+		l->base = ms;
+		l->base_at = now;
+	}
+}
+
+clk_ms link_delay(struct link *l, clk_ms now)
+{
+	clk_ms least;
+
+	advance(l, now);
+	least = l->least[0] < 0 ? l->least[1] : l->least[0];
+	return least < 0 ? 0 : least - l->base;
+}
+
+bool link_admits(struct link *l, clk_ms now, size_t bytes)
+{
+	double full;
+	double share;
+
+	if (bytes < LINK_BULK_BYTES || MUTANT(link_never_full))
+		return true;
+	full = (double)(link_delay(l, now) - DELAY_LOW_MS) / (DELAY_HIGH_MS - DELAY_LOW_MS);
+	share = full <= 0 ? 1.0 : full >= 1 ? LEAST_SHARE : 1.0 - full * (1.0 - LEAST_SHARE);
+	l->credit += share;
+	if (l->credit < 1.0)
+		return false;
+	l->credit -= 1.0;
+	return true;
+}
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -280,6 +280,7 @@
 	struct slots *s = a->pool->slots;
 
 	ctr_inc(&ctr_fallback);
+	s->env.on_answer_time(s->env.data, a->lender, clk_now() - a->sent);
 	log_info(&log, "lender of %s did not answer for %lld ms; deciding here", a->pool->service,
 		 (long long)(clk_now() - a->sent));
 	send_cancel(s, a);
@@ -417,6 +418,8 @@
 		.ahead = msg->ahead,
 	};
 
+	if (a && a->lender == from && !a->acked)
+		s->env.on_answer_time(s->env.data, from, clk_now() - a->sent);
 	if (a && a->lender == from && msg->queued) {
 		a->acked = true;
 		timer_cancel(&a->timer);
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -37,6 +37,8 @@
 	 */
 	uint64_t (*lender)(void *data, const struct slot_pool *pool, uint32_t key);
 	uint64_t (*owner)(void *data, const char *service, uint32_t key);
+	/* Time until a lender answered at first, or that has passed without an answer. */
+	void (*on_answer_time)(void *data, uint64_t node, clk_ms ms);
 	/* A request for a key arrived at its lender. */
 	void (*on_key)(void *data, const char *service, uint32_t key);
 };
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -28,6 +28,9 @@
 #define MAX_UNUSED 4
 /* Retry-After when nothing is known about when it will go on. */
 #define RETRY_UNKNOWN_MS 300
+/* Retry-After when a link has no room for large bodies, and its random part. */
+#define RETRY_LINK_MS 800
+#define RETRY_LINK_SPREAD 800
 
 static const struct log log = {"forward"};
 CTR(ctr_requests, "forward_requests_total", "Requests of callers.");
@@ -543,6 +546,12 @@
 		give_up(f, "the service is not known yet", RETRY_UNKNOWN_MS);
 		return;
 	}
+	if (!l->env.may_cross(l->env.data, f->service, f->key, f->region, f->req->body.len)) {
+		f->why = "link-full";
+		give_up(f, "the link to the upstream's region is full",
+			RETRY_LINK_MS + (clk_ms)(f->fingerprint % RETRY_LINK_SPREAD));
+		return;
+	}
 	f->ask.ask.key = f->key;
 	f->ask.ask.priority = f->route->priority;
 	f->ask.ask.deadline = f->deadline;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -32,6 +32,9 @@
 	void (*note_request)(void *data, struct str service);
 	/* Takes a repeat out of the budget of the service. */
 	bool (*take_repeat)(void *data, struct str service);
+	/* Whether a body of this length may go to where the service, or the key's owner, is. */
+	bool (*may_cross)(void *data, const struct topo_service *service, uint32_t key,
+			  struct str region, size_t bytes);
 	void (*on_misplaced)(void *data, const char *service, uint32_t key, uint64_t upstream);
 	/* A request broke together with the process that ran it. */
 	void (*on_crash)(void *data, uint64_t fingerprint, uint64_t upstream);
--- /dev/null
+++ b/test/unit_link.c
@@ -0,0 +1,166 @@
+/*
+ * Bulk over a full link between regions. Replays the load of shalbagan-gw-grown scale-1: bodies
+ * whose keys are owned across the link are more than it carries beside the small messages.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/link.h"
+#include "test/unit.h"
+
+#define GATEWAYS 42
+#define RUN_MS 20000
+#define LINK_BYTES_PER_MS 7500 /* 60 Mbit/s */
+#define SMALL_BYTES_PER_MS 3000
+#define BULK_BYTES 60000
+#define BULK_EVERY_MS 10
+#define ASK_EVERY_MS 140
+#define IDLE_ANSWER_MS 16
+/* A lender in another region has this long for its answer. */
+#define LENDER_MS 250
+#define MAX_OPEN 64
+
+struct ask {
+	clk_ms sent;
+	clk_ms answered;
+};
+
+struct gateway_side {
+	struct link link;
+	struct ask asks[MAX_OPEN];
+	size_t n;
+};
+
+struct result {
+	size_t asks;
+	size_t late; /* not answered in time */
+	size_t bulk;
+	size_t passed;
+	clk_ms longest;
+};
+
+/* Answers and timeouts that are due. */
+static void take_answers(struct gateway_side *g, clk_ms now, struct result *r, bool count)
+{
+	for (size_t i = 0; i < g->n;) {
+		struct ask *a = &g->asks[i];
+		bool late = now - a->sent >= LENDER_MS;
+
+		if (now < a->answered && !late) {
+			i++;
+			continue;
+		}
+		link_note(&g->link, now, now - a->sent);
+		r->asks += count;
+		r->late += count && late;
+		*a = g->asks[--g->n];
+	}
+}
+
+static struct result play(size_t bulk_every, bool control)
+{
+	static struct gateway_side gateways[GATEWAYS];
+	struct result r = {0};
+	double queue = 0;
+
+	memset(gateways, 0, sizeof(gateways));
+	for (size_t i = 0; i < GATEWAYS; i++)
+		link_init(&gateways[i].link, 1);
+	for (clk_ms now = 1; now <= RUN_MS; now++) {
+		bool count = now > RUN_MS / 4;
+		clk_ms delay = (clk_ms)(queue / LINK_BYTES_PER_MS);
+
+		for (size_t i = 0; i < GATEWAYS; i++) {
+			struct gateway_side *g = &gateways[i];
+
+			take_answers(g, now, &r, count);
+			if ((now + (clk_ms)i * 3) % ASK_EVERY_MS == 0 && g->n < MAX_OPEN)
+				g->asks[g->n++] =
+					(struct ask){now, now + IDLE_ANSWER_MS + 2 * delay};
+		}
+		if (now % (clk_ms)bulk_every == 0) {
+			struct gateway_side *g = &gateways[(size_t)now / bulk_every * 5 % GATEWAYS];
+
+			r.bulk += count;
+			if (!control || link_admits(&g->link, now, BULK_BYTES)) {
+				queue += BULK_BYTES;
+				r.passed += count;
+			}
+		}
+		queue += SMALL_BYTES_PER_MS;
+		queue = queue > LINK_BYTES_PER_MS ? queue - LINK_BYTES_PER_MS : 0;
+		if (count && delay > r.longest)
+			r.longest = delay;
+	}
+	return r;
+}
+
+/* Guards against bulk that makes all messages between the regions late, and so every lender silent.
+ */
+START_TEST(small_messages_pass_a_full_link)
+{
+	struct result without = play(BULK_EVERY_MS, false);
+	struct result with = play(BULK_EVERY_MS, true);
+
+	/* The load is one that breaks the link by itself. */
+	ck_assert_uint_gt(without.late * 10, without.asks * 9);
+	ck_assert_msg(with.late * 100 <= with.asks * 5, "%zu of %zu asks without an answer",
+		      with.late, with.asks);
+}
+END_TEST
+
+/* Guards against a link that is left idle while bulk is refused. */
+START_TEST(full_link_is_used)
+{
+	struct result r = play(BULK_EVERY_MS, true);
+	double room =
+		(double)(LINK_BYTES_PER_MS - SMALL_BYTES_PER_MS) / BULK_BYTES * RUN_MS * 3 / 4;
+
+	ck_assert_msg((double)r.passed >= room * 0.8, "%zu of %.0f passed", r.passed, room);
+}
+END_TEST
+
+/* Guards against refusing bulk that the link can carry. */
+START_TEST(idle_link_refuses_nothing)
+{
+	struct result r = play(20, true);
+
+	ck_assert_uint_eq(r.passed, r.bulk);
+}
+END_TEST
+
+/*
+ * Guards against a gateway that never sends bulk again after its lenders were silent for another
+ * reason, and against refusing small requests.
+ */
+START_TEST(some_bulk_always_passes)
+{
+	struct link l;
+	size_t passed = 0;
+
+	link_init(&l, 0);
+	link_note(&l, 0, IDLE_ANSWER_MS);
+	for (clk_ms now = 0; now < 10000; now += 10) {
+		link_note(&l, now, LENDER_MS);
+		passed += now > 1000 && link_admits(&l, now, BULK_BYTES);
+		ck_assert(link_admits(&l, now, LINK_BULK_BYTES - 1));
+	}
+	ck_assert_uint_ge(passed, 80);
+	ck_assert_uint_le(passed, 100);
+}
+END_TEST
+
+static const char *const mutants[] = {"link_never_full", NULL};
+
+static void add_tests(TCase *tc)
+{
+	tcase_add_test(tc, small_messages_pass_a_full_link);
+	tcase_add_test(tc, full_link_is_used);
+	tcase_add_test(tc, idle_link_refuses_nothing);
+	tcase_add_test(tc, some_bulk_always_passes);
+}
+
+int main(int argc, char **argv)
+{
+	return unit_main(argc, argv, "link", mutants, add_tests);
+}
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -73,6 +73,10 @@
 	return ((struct gateway *)data)->world->owner;
 }
 
+static void on_answer_time(void *data, uint64_t node, clk_ms ms)
+{
+}
+
 static void on_key(void *data, const char *service, uint32_t key)
 {
 }
@@ -116,6 +120,7 @@
 			.send = send_frame,
 			.lender = lender,
 			.owner = owner,
+			.on_answer_time = on_answer_time,
 			.on_key = on_key,
 		};
 
