readers: gateways begin to follow the store in waves, not all at once

The choice is now decided apart from I/O in process/readers.c: readers are good (young word), candidates or late; late ones are replaced, and if all are late, others begin in waves of 4, 8, 16. Also found: a gateway that began to read called itself answered at once (watch_set_passive), and the age of a peer's word was counted from the pulse before (gateway_peer.c), 200 ms too old.

Tests: unit_readers, 42 gateways; mutant readers_all_at_once.

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -84,6 +84,7 @@
 	msg.keeper = pointers;
 	msg.draining = g->draining;
 	msg.store_ok = watch_store_ok(g->watch);
+	msg.reads = !watch_is_passive(g->watch);
 	msg.store_ms = (uint32_t)watch_store_ms(g->watch);
 	msg.cpu_millis = g->settings.cpu_millis;
 	msg.store_age_ms = (uint32_t)(clk_now() - watch_last_answer(g->watch));
@@ -107,8 +108,11 @@
 	p->store_ok = msg->store_ok;
 	p->store_ms = msg->store_ms;
 	p->cpu_millis = msg->cpu_millis;
-	p->store_heard = p->heard - (clk_ms)msg->store_age_ms;
 	p->heard = clk_now();
+	p->store_heard = p->heard - (clk_ms)msg->store_age_ms;
+	if (p->reads != msg->reads)
+		p->reads_since = p->heard;
+	p->reads = msg->reads;
 	p->n_keeps = 0;
 	for (size_t i = 0; i < msg->n_keeper && p->n_keeps < GATEWAY_MAX_KEEPS; i++) {
 		uint64_t id = str_hash(str_from(msg->keeper[i]->service));
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -18,6 +18,7 @@
 #include "process/keeper.h"
 #include "process/link.h"
 #include "process/quarantine.h"
+#include "process/readers.h"
 #include "process/retry.h"
 #include "process/slots.h"
 #include "process/split.h"
@@ -46,6 +47,8 @@
 	clk_ms store_ms; /* fastest answer of the store there */
 	clk_ms heard;	 /* last pulse, 0: none yet */
 	uint32_t cpu_millis;
+	bool reads;	    /* follows the store itself */
+	clk_ms reads_since; /* by its pulses */
 	clk_ms store_heard; /* when the store answered it last, by our clock */
 	size_t n_keeps;
 	struct {
@@ -135,6 +138,7 @@
 	struct timer map_timer;
 	clk_ms started;
 	clk_ms last_pulse_far;
+	clk_ms reads_since; /* last change of reading the store */
 	struct gateway_link links[GATEWAY_MAX_LINKS];
 	size_t n_links;
 	clk_ms settings_checked;
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -17,8 +17,6 @@
 #include "base/log.h"
 #include "base/rnd.h"
 
-/* Readers of one region. More than any number of losses at once leaves; each costs calls. */
-#define READERS 4
 /* Longer values are compressed for the peers: a large configuration has thousands of like routes.
  */
 #define PACK_ABOVE 4096
@@ -29,13 +27,7 @@
 #define READERS_HEARD 2
 /* The store answers a reader at least this often while others rely on it. */
 #define CONFIRM_MS 1000
-/*
- * A reader counts while the store's last answer to it is younger: an answer in time, a slow one and
- * the way of the pulse. Together with the own call afterwards it is below the 2 s in which
- * configurations have to be in force.
- */
-#define PROOF_MS 1600
-/* And while it was heard within this time. */
+/* A peer's word counts while it was heard within this time. */
 #define HEARD_MS 600
 /* The first reader is chosen when the peers have found each other. */
 #define SETTLE_MS 1500
@@ -43,8 +35,6 @@
 #define COPY_PAUSE_MS 400
 /* Deleted rows that are remembered for those that still have them. */
 #define MAX_DELETED 1024
-/* Weights of readers, drawn apart from those of lenders. */
-#define READER_ID 0x7265616465727331ULL
 
 static const struct log log = {"tables"};
 CTR(ctr_pushed, "table_changes_sent_total", "Changes of tables passed on to other gateways.");
@@ -58,66 +48,45 @@
 
 /* ---- who reads ------------------------------------------------------------------------------ */
 
-/* The readers of the own region, sorted by weight, the highest first. */
-struct readers {
-	uint64_t nodes[READERS];
-	size_t n;
-};
-
-static void readers_add(struct readers *r, uint64_t node)
-{
-	uint64_t weight = rnd_mix(READER_ID, node);
-	size_t at = r->n;
-
-	while (at && rnd_mix(READER_ID, r->nodes[at - 1]) < weight)
-		at--;
-	if (at == READERS)
-		return;
-	if (r->n < READERS)
-		r->n++;
-	memmove(&r->nodes[at + 1], &r->nodes[at], (r->n - 1 - at) * sizeof(r->nodes[0]));
-	r->nodes[at] = node;
-}
-
-static struct readers list_readers(const struct gateway *g)
+/* Readers of the own region as this gateway sees it; the caller frees `nodes`. */
+static struct readers list_readers(const struct gateway *g, clk_ms now)
 {
-	struct readers r = {.n = 0};
+	size_t max = HASH_COUNT(g->peer_states) + 1;
+	struct reader_info *infos = calloc(max, sizeof(*infos));
+	struct readers r = {.nodes = calloc(max, sizeof(uint64_t))};
 	char region[FLEET_NAME_BYTES];
 	const struct gateway_peer *p;
 	uint32_t least;
+	size_t n = 0;
 
+	if (!infos || !r.nodes)
+		abort();
 	snprintf(region, sizeof(region), "%.*s", STR_ARG(g->settings.region));
 	least = gateway_strong_cpu(g, region);
 	if (!g->draining && g->settings.cpu_millis >= least)
-		readers_add(&r, g->node);
+		infos[n++] = (struct reader_info){
+			.node = g->node,
+			.reads = !watch_is_passive(g->watch),
+			.proof_age = now - watch_last_answer(g->watch),
+			.reads_for = now - g->reads_since,
+		};
 	for (p = g->peer_states; p; p = p->hh.next) {
-		if (!p->draining && p->cpu_millis >= least && gateway_is_near(g, p))
-			readers_add(&r, p->node);
+		if (p->draining || p->cpu_millis < least || !gateway_is_near(g, p))
+			continue;
+		infos[n++] = (struct reader_info){
+			.node = p->node,
+			.reads = p->reads,
+			.proof_age =
+				now -
+				(now - p->heard < HEARD_MS && p->store_ok ? p->store_heard : 0),
+			.reads_for = now - p->reads_since,
+		};
 	}
+	readers_choose(&r, infos, n);
+	free(infos);
 	return r;
 }
 
-static bool is_reader(const struct readers *r, uint64_t node)
-{
-	for (size_t i = 0; i < r->n; i++) {
-		if (r->nodes[i] == node)
-			return true;
-	}
-	return false;
-}
-
-/* Readers whose word can be relied on now. */
-static size_t good_readers(const struct gateway *g, const struct readers *r, clk_ms now)
-{
-	const struct gateway_peer *p;
-	size_t n = 0;
-
-	for (p = g->peer_states; p; p = p->hh.next)
-		n += now - p->heard < HEARD_MS && p->store_ok && now - p->store_heard < PROOF_MS &&
-		     is_reader(r, p->node);
-	return n;
-}
-
 static bool knows_all_tables(const struct gateway *g)
 {
 	return watch_version(g->watch, META_CONFIG) && watch_version(g->watch, META_UPSTREAMS) &&
@@ -136,12 +105,12 @@
 }
 
 /* Whether a gateway of the own region may rely on this one. */
-static bool has_listeners(const struct gateway *g, const struct readers *r)
+static bool has_listeners(const struct gateway *g)
 {
 	const struct gateway_peer *p;
 
 	for (p = g->peer_states; p; p = p->hh.next) {
-		if (gateway_is_near(g, p) && !is_reader(r, p->node))
+		if (gateway_is_near(g, p) && !p->reads)
 			return true;
 	}
 	return false;
@@ -149,20 +118,28 @@
 
 void gateway_choose_readers(struct gateway *g, clk_ms now)
 {
-	struct readers r = list_readers(g);
-	bool reads = is_reader(&r, g->node);
-	size_t good = good_readers(g, &r, now);
-	bool passive = !reads && !keeps_keys(g) && good >= READERS_HEARD;
+	struct readers r = list_readers(g, now);
+	bool reads = readers_has(&r, g->node);
+	bool keeps = keeps_keys(g);
+	size_t good = r.good;
+	bool passive = watch_is_passive(g->watch);
 
+	free(r.nodes);
 	if (now - g->started < SETTLE_MS)
 		return;
-	watch_set_confirm(g->watch, reads && has_listeners(g, &r) ? CONFIRM_MS : 0);
-	if (passive == watch_is_passive(g->watch) || (passive && !knows_all_tables(g)))
+	watch_set_confirm(g->watch, reads && has_listeners(g) ? CONFIRM_MS : 0);
+	if (reads || keeps)
+		passive = false;
+	else if (good >= READERS_HEARD && knows_all_tables(g))
+		passive = true;
+	if (passive == watch_is_passive(g->watch))
 		return;
 	ctr_inc(&ctr_switches);
+	g->reads_since = now;
 	log_info(&log, "%s, %zu readers are heard",
 		 passive ? "the tables come from peers" : "the store is followed here", good);
 	watch_set_passive(g->watch, passive);
+	gateway_send_pulse(g, false);
 }
 
 /* ---- rows ----------------------------------------------------------------------------------- */
@@ -301,41 +278,31 @@
 	}
 }
 
-/* The reader that passes changes on to a gateway: by weight, so that they share the work. */
-static uint64_t reader_of(const struct readers *r, uint64_t node)
-{
-	uint64_t best = 0;
-
-	for (size_t i = 0; i < r->n; i++) {
-		if (!best || rnd_mix(node, r->nodes[i]) > rnd_mix(node, best))
-			best = r->nodes[i];
-	}
-	return best;
-}
-
 static void push_changes(struct gateway *g, enum meta_table table, uint64_t since, bool recovered)
 {
-	struct readers r = list_readers(g);
+	struct readers r = list_readers(g, clk_now());
 	struct arena arena = ARENA_INIT;
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__TableCopy msg;
 	struct gateway_peer *p;
 	struct gateway_peer *tmp;
 
-	if (!since || !is_reader(&r, g->node) || !has_listeners(g, &r))
+	if (!since || !readers_has(&r, g->node) || !has_listeners(g)) {
+		free(r.nodes);
 		return;
+	}
 	pack_changes(g, table, since, &arena, &msg);
 	msg.recovered = recovered;
 	frame.body_case = BC__FRAME__BODY_TABLE_COPY;
 	frame.table_copy = &msg;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
-		if (!gateway_is_near(g, p) || is_reader(&r, p->node) ||
-		    reader_of(&r, p->node) != g->node)
+		if (!gateway_is_near(g, p) || p->reads || readers_of(&r, p->node) != g->node)
 			continue;
 		ctr_inc(&ctr_pushed);
 		gateway_send(g, p->node, &frame);
 	}
 	arena_free(&arena);
+	free(r.nodes);
 }
 
 void gateway_keep_rows(struct gateway *g, enum meta_table table, bool whole, bool recovered,
--- /dev/null
+++ b/src/process/readers.c
@@ -0,0 +1,76 @@
+#include "process/readers.h"
+
+#include <stdlib.h>
+
+#include "base/mutant.h"
+#include "base/rnd.h"
+
+/* Weights of readers, drawn apart from those of lenders. */
+#define READER_ID 0x7265616465727331ULL
+
+enum reader_state { READER_GOOD, READER_CANDIDATE, READER_BAD };
+
+static enum reader_state state_of(const struct reader_info *p)
+{
+	if (p->reads && p->proof_age < READERS_PROOF_MS)
+		return READER_GOOD;
+	return p->reads && p->reads_for >= READERS_FIRST_MS ? READER_BAD : READER_CANDIDATE;
+}
+
+static int by_weight(const void *a, const void *b)
+{
+	uint64_t x = rnd_mix(READER_ID, ((const struct reader_info *)a)->node);
+	uint64_t y = rnd_mix(READER_ID, ((const struct reader_info *)b)->node);
+
+	return x > y ? -1 : x < y;
+}
+
+static void add(struct readers *out, const struct reader_info *peers, size_t n,
+		enum reader_state state, size_t max)
+{
+	for (size_t i = 0; i < n && max; i++) {
+		if (state_of(&peers[i]) != state)
+			continue;
+		out->nodes[out->n++] = peers[i].node;
+		max--;
+	}
+}
+
+void readers_choose(struct readers *out, struct reader_info *peers, size_t n)
+{
+	size_t bad = 0;
+	size_t more;
+
+	out->n = 0;
+	qsort(peers, n, sizeof(*peers), by_weight);
+	for (size_t i = 0; i < n; i++)
+		bad += state_of(&peers[i]) == READER_BAD;
+	add(out, peers, n, READER_GOOD, READERS);
+	out->good = out->n;
+	more = READERS - out->good;
+	if (!out->good && bad > more)
+		more = bad;
+	if (!out->good && MUTANT(readers_all_at_once))
+		more = n;
+	add(out, peers, n, READER_CANDIDATE, more);
+}
+
+bool readers_has(const struct readers *r, uint64_t node)
+{
+	for (size_t i = 0; i < r->n; i++) {
+		if (r->nodes[i] == node)
+			return true;
+	}
+	return false;
+}
+
+uint64_t readers_of(const struct readers *r, uint64_t node)
+{
+	uint64_t best = 0;
+
+	for (size_t i = 0; i < r->good; i++) {
+		if (!best || rnd_mix(node, r->nodes[i]) > rnd_mix(node, best))
+			best = r->nodes[i];
+	}
+	return best;
+}
--- a/src/process/watch.c
+++ b/src/process/watch.c
@@ -328,7 +328,6 @@
 	w->ok = !passive;
 	w->probing = false;
 	w->retry = RETRY_FIRST_MS;
-	w->last_answer = clk_now();
 	for (size_t i = 0; i < WATCHED_TABLES; i++) {
 		give_up(&w->tables[i]);
 		if (!passive)
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6274,7 +6274,7 @@
   (ProtobufCMessageInit) bc__keeper_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[9] =
 {
   {
     "draining",
@@ -6372,12 +6372,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, reads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__pulse__field_indices_by_name[] = {
   3,   /* field[3] = config_row */
   6,   /* field[6] = cpu_millis */
   0,   /* field[0] = draining */
   2,   /* field[2] = keeper */
+  8,   /* field[8] = reads */
   7,   /* field[7] = store_age_ms */
   5,   /* field[5] = store_ms */
   1,   /* field[1] = store_ok */
@@ -6386,7 +6399,7 @@
 static const ProtobufCIntRange bc__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bc__pulse__descriptor =
 {
@@ -6396,7 +6409,7 @@
   "Bc__Pulse",
   "bc",
   sizeof(Bc__Pulse),
-  8,
+  9,
   bc__pulse__field_descriptors,
   bc__pulse__field_indices_by_name,
   1,  bc__pulse__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -944,10 +944,14 @@
    * time since the store answered it last
    */
   uint32_t store_age_ms;
+  /*
+   * follows the store itself
+   */
+  protobuf_c_boolean reads;
 };
 #define BC__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__pulse__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/test/unit_readers.c
@@ -0,0 +1,187 @@
+/* Who reads the store for a region: 42 gateways that see each other, and a store that fails. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "process/readers.h"
+#include "test/unit.h"
+
+#define GATEWAYS 42
+/* Pulses, and so the age of what gateways know of each other. */
+#define STEP_MS 200
+#define LONG_AGO (-100000)
+
+struct sim {
+	struct reader_info info[GATEWAYS];
+	clk_ms answered[GATEWAYS];
+	clk_ms began[GATEWAYS];
+	bool refused[GATEWAYS]; /* by the store */
+	bool slow;		/* the store answers nobody in time */
+	clk_ms now;
+	struct readers readers;
+	uint64_t nodes[GATEWAYS];
+	size_t begun; /* gateways that began to read in this step */
+};
+
+static struct reader_info *find(struct sim *s, uint64_t node)
+{
+	for (size_t i = 0; i < GATEWAYS; i++) {
+		if (s->info[i].node == node)
+			return &s->info[i];
+	}
+	return NULL;
+}
+
+static void step(struct sim *s)
+{
+	struct reader_info view[GATEWAYS];
+
+	s->now += STEP_MS;
+	s->begun = 0;
+	for (size_t i = 0; i < GATEWAYS; i++) {
+		if (s->info[i].reads && !s->refused[i] && !s->slow)
+			s->answered[i] = s->now;
+		s->info[i].proof_age = s->now - s->answered[i];
+		s->info[i].reads_for = s->now - s->began[i];
+	}
+	memcpy(view, s->info, sizeof(view));
+	s->readers.nodes = s->nodes;
+	readers_choose(&s->readers, view, GATEWAYS);
+	for (size_t i = 0; i < s->readers.n; i++) {
+		struct reader_info *p = find(s, s->readers.nodes[i]);
+
+		if (p->reads)
+			continue;
+		p->reads = true;
+		s->began[p - s->info] = s->now;
+		s->begun++;
+	}
+	for (size_t i = 0; i < GATEWAYS; i++) {
+		if (s->info[i].reads && s->readers.good >= 2 &&
+		    !readers_has(&s->readers, s->info[i].node))
+			s->info[i].reads = false;
+	}
+}
+
+static size_t reading(const struct sim *s)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < GATEWAYS; i++)
+		n += s->info[i].reads;
+	return n;
+}
+
+static void start(struct sim *s)
+{
+	memset(s, 0, sizeof(*s));
+	for (size_t i = 0; i < GATEWAYS; i++) {
+		s->info[i].node = 1000 + i * 7;
+		s->info[i].reads = true;
+		s->began[i] = LONG_AGO;
+		s->answered[i] = LONG_AGO;
+	}
+	for (int i = 0; i < 3; i++)
+		step(s);
+}
+
+/* Guards against calls that grow with the number of gateways. */
+START_TEST(few_read)
+{
+	static struct sim s;
+
+	start(&s);
+	ck_assert_uint_eq(reading(&s), READERS);
+	ck_assert_uint_eq(s.readers.good, READERS);
+}
+END_TEST
+
+/* Guards against a reader that is not replaced, and against more than one that replaces it. */
+START_TEST(late_reader_is_replaced)
+{
+	static struct sim s;
+	struct reader_info *lost;
+	size_t begun = 0;
+
+	start(&s);
+	lost = find(&s, s.readers.nodes[0]);
+	s.refused[lost - s.info] = true;
+	for (clk_ms t = 0; t <= READERS_PROOF_MS + 2 * STEP_MS; t += STEP_MS) {
+		step(&s);
+		begun += s.begun;
+	}
+	ck_assert(!readers_has(&s.readers, lost->node));
+	ck_assert_uint_eq(s.readers.good, READERS);
+	ck_assert_uint_eq(begun, 1);
+}
+END_TEST
+
+/*
+ * Guards against a full link that all gateways of a region fill at once with the same large table
+ * (shalbagan-gw-grown scale-1, seed 818407947318, after its big_config).
+ */
+START_TEST(late_store_is_not_stormed)
+{
+	static struct sim s;
+
+	start(&s);
+	s.slow = true;
+	for (clk_ms t = STEP_MS; t < READERS_PROOF_MS + READERS_FIRST_MS; t += STEP_MS)
+		step(&s);
+	ck_assert_uint_le(reading(&s), 2 * READERS);
+	s.slow = false;
+	for (int i = 0; i < 3; i++)
+		step(&s);
+	ck_assert_uint_eq(reading(&s), READERS);
+}
+END_TEST
+
+/* Guards against gateways that hear nothing new although the store answers one of them. */
+START_TEST(the_one_that_is_answered_is_found)
+{
+	for (size_t good = 0; good < GATEWAYS; good++) {
+		static struct sim s;
+
+		start(&s);
+		for (size_t i = 0; i < GATEWAYS; i++)
+			s.refused[i] = i != good;
+		/* 4, 8, 16 and 32 have tried by then, and the rest. */
+		for (clk_ms t = 0; t <= READERS_PROOF_MS + 5 * (READERS_FIRST_MS + STEP_MS);
+		     t += STEP_MS)
+			step(&s);
+		ck_assert_uint_eq(s.readers.good, 1);
+	}
+}
+END_TEST
+
+/* Guards against trusting one that the store has not answered yet. */
+START_TEST(new_reader_has_no_word)
+{
+	struct reader_info p = {1, true, READERS_PROOF_MS, 0};
+	uint64_t node;
+	struct readers r = {.nodes = &node};
+
+	readers_choose(&r, &p, 1);
+	ck_assert_uint_eq(r.n, 1);
+	ck_assert_uint_eq(r.good, 0);
+	ck_assert_uint_eq(readers_of(&r, 2), 0);
+	p.proof_age = 0;
+	readers_choose(&r, &p, 1);
+	ck_assert_uint_eq(readers_of(&r, 2), 1);
+}
+END_TEST
+
+static const char *const mutants[] = {"readers_all_at_once", NULL};
+
+static void add_tests(TCase *tc)
+{
+	tcase_add_test(tc, few_read);
+	tcase_add_test(tc, late_reader_is_replaced);
+	tcase_add_test(tc, late_store_is_not_stormed);
+	tcase_add_test(tc, the_one_that_is_answered_is_found);
+	tcase_add_test(tc, new_reader_has_no_word);
+}
+
+int main(int argc, char **argv)
+{
+	return unit_main(argc, argv, "readers", mutants, add_tests);
+}
