gateway: a stop whose time is over refuses what still waits

0.3 s before that end, requests that are not at an upstream are now refused (503, not run) or told that the outcome is not known; none goes to another upstream any more. Test: last part of test/scripts/gateway.sh; with mutant forward_cut_waiting (the behaviour before) the caller gets no answer. Ruled out: a lost answer at the upstream (it never ran there).

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -26,6 +26,8 @@
 #define STOP_ACCEPT_MS 3200
 /* The process ends by itself this long before it would be killed. */
 #define STOP_MARGIN_MS 400
+/* Requests that still wait are refused this long before, so that the answers leave. */
+#define STOP_REFUSE_MS 300
 /* Bodies may take this part of the process's memory; they are written from it, too. */
 #define BODY_MEMORY_PART 3
 /* Crashes are remembered this long. */
@@ -381,6 +383,8 @@
 	if (since >= STOP_ACCEPT_MS && !forward_list_open(g->forwards) &&
 	    !ingress_open_requests(g->callers) && !keeps_any(g))
 		g->stopped = true;
+	if (since >= g->settings.stop_grace - STOP_MARGIN_MS - STOP_REFUSE_MS)
+		forward_close(g->forwards);
 	if (since >= g->settings.stop_grace - STOP_MARGIN_MS)
 		g->stopped = true;
 }
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -79,6 +79,7 @@
 	struct forward *forwards;
 	struct crash_list *crashes;
 	size_t open;
+	bool closed; /* no request is sent any more */
 };
 
 static void ask_slot(struct forward *f);
@@ -542,6 +543,11 @@
 	struct forward_list *l = f->list;
 	struct slot_pool *pool = slots_pool(l->env.slots, f->service->name, f->region);
 
+	if (l->closed) {
+		f->why = f->why ? f->why : "stopping";
+		give_up(f, "this gateway stops; ask another one", RETRY_UNKNOWN_MS);
+		return;
+	}
 	if (!pool) {
 		give_up(f, "the service is not known yet", RETRY_UNKNOWN_MS);
 		return;
@@ -656,6 +662,20 @@
 	ask_slot(f);
 }
 
+void forward_close(struct forward_list *l)
+{
+	struct forward *next;
+
+	l->closed = !MUTANT(forward_cut_waiting);
+	for (struct forward *f = l->forwards; f && l->closed; f = next) {
+		next = f->next;
+		if (f->call)
+			continue;
+		slots_cancel(l->env.slots, &f->ask);
+		ask_slot(f);
+	}
+}
+
 void forward_gone(struct forward_list *l, struct ingress_request *req)
 {
 	struct forward *f = req->data;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -47,6 +47,12 @@
 /* Requests under way, also those whose caller has left. */
 size_t forward_list_open(const struct forward_list *l);
 
+/*
+ * The process ends soon: requests that are not at an upstream are refused now, and none goes to
+ * another one any more.
+ */
+void forward_close(struct forward_list *l);
+
 void forward_start(struct forward_list *l, struct ingress_request *req);
 void forward_gone(struct forward_list *l, struct ingress_request *req);
 
--- a/test/scripts/gateway.sh
+++ b/test/scripts/gateway.sh
@@ -3,7 +3,7 @@
 # configuration, an outage of the store, a lost keeper, a planned stop.
 # Guards against a request that runs twice, a false "not run", a configuration that reverts, and
 # keys that stay without an owner when the gateway that gives them is lost.
-# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps
+# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps forward_cut_waiting
 . "$(dirname "$0")/lib.sh"
 begin
 
@@ -213,4 +213,26 @@
 cat "$WORK/last"
 await_exit "gateway-$other"
 echo "exit code $?"
+
+echo "-- a stop whose time is over refuses what still waits"
+sed -i 's/grace=6s/grace=1500ms/' "$WORK/gateway-$keeper.conf"
+gateway "$keeper"
+wait_until is_ready "$keeper"
+plain_switch '{"work_ms":5}'
+wait_until answers 200 "$keeper" GET /read/6
+plain_switch '{"work_ms":8000}'
+busy=()
+for i in 1 2 3 4; do
+	ask "$keeper" GET "/read/1$i" >/dev/null &
+	busy+=($!)
+done
+all_work() { [ "$(count running)" = 4 ]; }
+wait_until all_work
+ask "$keeper" GET /read/7 >"$WORK/last" &
+last=$!
+sleep 0.3
+kill -TERM "${PIDS[gateway-$keeper]}"
+wait "$last" "${busy[@]}"
+cat "$WORK/last"
+await_exit "gateway-$keeper"
 finish "$(dirname "$0")/gateway.expected"
