peers: a keeper whose store is silent is replaced

Cause: a store that refuses is noticed at once, one that answers nothing is not: the open call for changes may wait 20 s, so the keeper's pulses went on saying that its store answers.

The others now also look at the age of the store's last answer to the keeper, which it confirms every 0.9 s. Ruled out: link between regions (24 link refusals), plan (no moves).

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -7,12 +7,18 @@
 
 #include "base/ctr.h"
 #include "base/log.h"
+#include "base/mutant.h"
 #include "base/rnd.h"
 
 /* A keeper that was not heard for this long is taken as lost. */
 #define KEEPER_LOST_MS 1000
 /* A keeper whose store does not answer for this long hands over to one whose store does. */
 #define KEEPER_CUT_MS 600
+/*
+ * A keeper confirms its role at the store every 0.9 s (KEEPER_CONFIRM_MS). Without an answer for
+ * this long its store is silent; it stops renewing leases soon after (KEEPER_STORE_SILENCE_MS).
+ */
+#define KEEPER_SILENT_MS 1500
 /* Candidates try one after the other, in the order of their weight. */
 #define CANDIDATE_STEP_MS 200
 /* Difference of the store's answers that makes one gateway nearer than another. */
@@ -331,6 +337,13 @@
 	return rank;
 }
 
+/* A store that refuses is noticed at once; one that does not answer at all only by its silence. */
+static bool keeper_has_store(const struct gateway_peer *keeper, clk_ms now)
+{
+	return keeper->store_ok &&
+	       (now - keeper->store_heard < KEEPER_SILENT_MS || MUTANT(gateway_trust_silence));
+}
+
 static void elect(struct gateway *g, struct gateway_service *s, clk_ms now)
 {
 	struct gateway_peer *keeper;
@@ -341,7 +354,8 @@
 		return;
 	}
 	keeper = gateway_find_keeper(g, s->id, now);
-	if (keeper && !keeper->draining && (keeper->store_ok || !watch_store_ok(g->watch))) {
+	if (keeper && !keeper->draining &&
+	    (keeper_has_store(keeper, now) || !watch_store_ok(g->watch))) {
 		s->no_keeper_since = 0;
 		return;
 	}
