gateway: scripted run of a store that is silent to the keeper alone

The stand-in of the store has a second address and a switch that leaves callers of one address without answers. With mutant gateway_trust_silence (the behaviour before) the keeper is replaced only when its own calls end.

--- a/standin/standin_rowstore.c
+++ b/standin/standin_rowstore.c
@@ -1,7 +1,7 @@
 /*
  * Stand-in for the platform's row store, with switches for its faults on a control port:
  * POST /put?table=T&key=K with a value as body, POST /drop?table=T&key=K, and
- * POST /control {"refuse":503,"hang":true,"lose_answers":3,"trim":true}; GET /counts.
+ * POST /control {"refuse":503,"hang":true,"hang_door":1,"lose_answers":3,"trim":true}; GET /counts.
  */
 #include <argtable2.h>
 #include <jansson.h>
@@ -44,6 +44,7 @@
 	uint64_t oldest; /* history before it is gone */
 	int refuse;	 /* status of every answer, 0: none */
 	bool hang;
+	int hang_door;	  /* callers of this address get no answer: 1 listen, 2 second; 0: none */
 	int lose_answers; /* writes that are done and not answered */
 	size_t calls;
 	struct waiter *waiters;
@@ -335,7 +336,7 @@
 {
 	store.calls++;
 	req->data = NULL;
-	if (store.hang)
+	if (store.hang || store.hang_door == *(const int *)data)
 		return;
 	if (store.refuse) {
 		reply(req, store.refuse, json_pack("{s:s}", "error", "refused by a switch"));
@@ -377,6 +378,9 @@
 	value = json_object_get(root, "hang");
 	if (value)
 		store.hang = json_is_true(value);
+	value = json_object_get(root, "hang_door");
+	if (value)
+		store.hang_door = (int)json_integer_value(value);
 	value = json_object_get(root, "lose_answers");
 	if (value)
 		store.lose_answers = (int)json_integer_value(value);
@@ -419,7 +423,8 @@
 	return &l;
 }
 
-static struct ingress *listen_on(const char *address, const struct ingress_handlers *handlers)
+static struct ingress *listen_on(const char *address, const struct ingress_handlers *handlers,
+				 void *data)
 {
 	struct str port_text;
 	struct str ip = str_split(str_from(address), ':', &port_text);
@@ -430,7 +435,7 @@
 
 	snprintf(copy, sizeof(copy), "%.*s", STR_ARG(ip));
 	str_to_u64(port_text, 65535, &port);
-	in = ingress_create(store.loop, copy, (uint32_t)port, handlers, NULL, &err);
+	in = ingress_create(store.loop, copy, (uint32_t)port, handlers, data, &err);
 	if (!in) {
 		fprintf(stderr, "standin-rowstore: %s\n", err.msg);
 		exit(2);
@@ -443,17 +448,22 @@
 	static const struct ingress_handlers service = {on_request, on_gone, limits};
 	static const struct ingress_handlers control = {on_control, on_control_gone, limits};
 	struct args_common common = args_common_options();
+	struct arg_str *second =
+		arg_str0(NULL, "second", "IP:PORT", "a second address of the same store");
 	struct arg_end *end = arg_end(5);
-	void *table[] = {common.listen, common.control, common.help, end};
-	struct ingress *ports[2];
+	void *table[] = {common.listen, common.control, second, common.help, end};
+	static int doors[] = {1, 2};
+	struct ingress *ports[3] = {NULL};
 
 	args_parse(argc, argv, table, &common, end);
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
 	timer_setup_process();
 	store.loop = h2o_evloop_create();
-	ports[0] = listen_on(common.listen->sval[0], &service);
-	ports[1] = listen_on(common.control->sval[0], &control);
+	ports[0] = listen_on(common.listen->sval[0], &service, &doors[0]);
+	ports[1] = listen_on(common.control->sval[0], &control, NULL);
+	if (second->count)
+		ports[2] = listen_on(second->sval[0], &service, &doors[1]);
 	while (!stopping)
 		h2o_evloop_run(store.loop, 100);
 	while (store.waiters) {
--- a/test/scripts/gateway.sh
+++ b/test/scripts/gateway.sh
@@ -3,11 +3,11 @@
 # configuration, an outage of the store, a lost keeper, a planned stop.
 # Guards against a request that runs twice, a false "not run", a configuration that reverts, and
 # keys that stay without an owner when the gateway that gives them is lost.
-# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps forward_cut_waiting
+# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps forward_cut_waiting gateway_trust_silence
 . "$(dirname "$0")/lib.sh"
 begin
 
-new_address STORE STORE_CONTROL
+new_address STORE STORE_CONTROL STORE_SECOND
 for i in 1 2 3 4; do new_address "UP$i" "UPC$i"; done
 for i in 1 2; do new_address "FRONT$i" "READY$i" "PEER$i" "METRICS$i"; done
 
@@ -33,7 +33,8 @@
 }
 
 settings() { # NUMBER
-	local front=FRONT$1 ready=READY$1 peer=PEER$1
+	local front=FRONT$1 ready=READY$1 peer=PEER$1 store=$STORE
+	[ "$1" = 1 ] || store=$STORE_SECOND
 	cat >"$WORK/gateway-$1.conf" <<END
 node-name=gateway-$1
 ip=$IP
@@ -46,7 +47,7 @@
 internal-ports=${!peer#*:},65000
 heartbeat=500ms
 bounds=drain=2000ms,grace=6s,retry-budget-ratio=0.2,retry-budget-slack=60,hold-max=10000ms
-platform.address=$STORE
+platform.address=$store
 END
 }
 
@@ -85,7 +86,7 @@
 	control "$UPC4" "$1"
 }
 
-start store standin-rowstore --listen "$STORE" --control "$STORE_CONTROL"
+start store standin-rowstore --listen "$STORE" --control "$STORE_CONTROL" --second "$STORE_SECOND"
 start u1 standin-keyed --listen "$UP1" --control "$UPC1" --id u1 --keyed
 start u2 standin-keyed --listen "$UP2" --control "$UPC2" --id u2 --keyed
 start u3 standin-keyed --listen "$UP3" --control "$UPC3" --id u3
@@ -195,6 +196,17 @@
 wait_until answers 200 "$other" GET /look/4 -H "x-shard-key: 5"
 ask "$other" GET /look/4 -H "x-shard-key: 60000"
 
+echo "-- the store is silent to the keeper alone"
+lost_before=$(grep -c 'dependency store lost' "$WORK/gateway-$keeper.log")
+control "$STORE_CONTROL" "{\"hang_door\":$keeper}"
+took_over() { grep -q 'taking over the keys of keys: the keeper is cut off' "$WORK/gateway-$other.log"; }
+wait_until took_over
+[ "$(grep -c 'dependency store lost' "$WORK/gateway-$keeper.log")" = "$lost_before" ] || echo "noticed only when its calls ended"
+wait_until answers 200 "$other" GET /look/4 -H "x-shard-key: 5"
+control "$STORE_CONTROL" '{"hang_door":0}'
+keeper=$other
+other=$((3 - keeper))
+
 echo "-- the keeper is killed, the other gateway takes over"
 kill -KILL "${PIDS[gateway-$keeper]}"
 await_exit "gateway-$keeper"
