forward: another instance at an upstream's address counts as unreached

The lender now hears that the upstream could not be reached (pause of 100 ms, doubling to 2 s) and the request avoids it. Test: script gateway, part "an upstream whose address another one has now"; mutant forward_trust_address.

--- a/src/process/keeper_hold.c
+++ b/src/process/keeper_hold.c
@@ -28,6 +28,7 @@
  * them, or it would refuse what they still send: GATEWAY_MAP_MS and a hop between regions.
  */
 #define MAP_LEAD_MS 60
+
 static const struct log log = {"keeper"};
 CTR(ctr_grants, "key_grants_total", "Grants and renewals of keys sent to upstreams.");
 CTR(ctr_releases, "key_releases_total", "Releases of keys sent to upstreams.");
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -286,15 +286,34 @@
 			 f->upstream->id, STR_ARG(value));
 }
 
-static void note_misplaced(struct forward *f, const struct upconn_answer *a)
+/* Another process listens at the address: the registration is older than that. */
+static bool is_other_instance(const struct forward *f, const struct upconn_answer *a)
+{
+	struct str instance = upconn_answer_header(a, f->list->env.platform->headers.instance);
+
+	return a->status == 421 && instance.len && !str_eq_cstr(instance, f->upstream->id);
+}
+
+/*
+ * Load pattern: an address that was used again. What listens there refuses at once, so its slots
+ * always seem free; the lender has to hear that the upstream could not be reached.
+ */
+static void after_other_instance(struct forward *f, const struct upconn_answer *a)
+{
+	struct admit_report none = {0};
+
+	log_warn(&log, "upstream %.*s is at the address of %s",
+		 STR_ARG(upconn_answer_header(a, f->list->env.platform->headers.instance)),
+		 f->upstream->id);
+	avoid_upstream(f, f->upstream->num);
+	end_call(f, ADMIT_UNREACHED, 0, &none);
+	after_not_run(f, "other-instance", true);
+}
+
+static void note_misplaced(struct forward *f)
 {
 	struct forward_list *l = f->list;
-	struct str instance = upconn_answer_header(a, l->env.platform->headers.instance);
 
-	if (instance.len && !str_eq_cstr(instance, f->upstream->id)) {
-		log_warn(&log, "upstream %s at the address of %s", instance.ptr, f->upstream->id);
-		return;
-	}
 	if (f->service->keyed)
 		l->env.on_misplaced(l->env.data, f->upstream->service, f->key, f->upstream->num);
 }
@@ -317,12 +336,16 @@
 {
 	struct admit_report report;
 
+	if (is_other_instance(f, a) && !MUTANT(forward_trust_address)) {
+		after_other_instance(f, a);
+		return;
+	}
 	read_report(f, a, &report);
 	if (is_not_run(f, a)) {
 		bool misplaced = a->status == 421;
 
 		if (misplaced)
-			note_misplaced(f, a);
+			note_misplaced(f);
 		else
 			avoid_upstream(f, f->upstream->num);
 		end_call(f, misplaced ? ADMIT_UNUSED : ADMIT_SHED, a->elapsed, &report);
--- a/test/scripts/gateway.sh
+++ b/test/scripts/gateway.sh
@@ -3,7 +3,7 @@
 # configuration, an outage of the store, a lost keeper, a planned stop.
 # Guards against a request that runs twice, a false "not run", a configuration that reverts, and
 # keys that stay without an owner when the gateway that gives them is lost.
-# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps forward_cut_waiting gateway_trust_silence
+# mutants: forward_repeat_once forward_false_not_run gateway_revert_config gateway_trust_maps forward_cut_waiting gateway_trust_silence forward_trust_address
 . "$(dirname "$0")/lib.sh"
 begin
 
@@ -127,6 +127,16 @@
 ask 1 GET /look/1
 ask 1 GET /look/1 -H "x-shard-key: 65536"
 
+echo "-- an upstream whose address another one has now is left alone"
+misplaced=$(count misplaced)
+put servers u5 "$(registration plain "$UP3" ready)"
+wait_until grep -q 'upstream u5: plain' "$WORK/gateway-1.log"
+for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do ask 1 GET "/read/0"; done | sort | uniq -c | sed 's/^ *//'
+# At first, and then once after each pause, which doubles.
+[ $(($(count misplaced) - misplaced)) -le 8 ] || echo "it was asked $(($(count misplaced) - misplaced)) times"
+curl -s -m 20 -o /dev/null "$STORE_CONTROL/drop?table=servers&key=u5" -d ''
+wait_until grep -q 'upstream u5 is no longer' "$WORK/gateway-1.log"
+
 echo "-- an order whose answer is lost is not sent again"
 runs=$(count runs)
 plain_switch '{"drop_answers":1}'
