--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -109,13 +109,6 @@
 		s->keeper = keeper_create(&env, s->name);
 }
 
-static uint64_t owner_of(void *data, const char *service, uint32_t key)
-{
-	struct gateway_service *s = gateway_service(data, str_from(service));
-
-	return s->keeper ? keeper_owner(s->keeper, key) : 0;
-}
-
 static void on_misplaced(void *data, const char *service, uint32_t key, uint64_t upstream)
 {
 	struct gateway_service *s = gateway_service(data, str_from(service));
@@ -447,7 +440,7 @@
 		.data = g,
 		.send = gateway_send,
 		.lender = gateway_lender,
-		.owner = owner_of,
+		.owner = gateway_owner,
 		.on_answer_time = gateway_note_answer,
 		.on_key = gateway_on_key,
 	};
--- a/src/process/gateway_key.c
+++ b/src/process/gateway_key.c
@@ -17,7 +17,7 @@
 CTR(ctr_gaps, "key_map_gaps_total", "Times that the map known here was older than it should be.");
 CTR(ctr_unseen, "key_load_dropped_total", "Requests for keys left out of a report to the keeper.");
 
-static struct gateway_service *find_service(struct gateway *g, const char *name)
+struct gateway_service *gateway_keyed_service(struct gateway *g, const char *name)
 {
 	uint64_t id = str_hash(str_from(name));
 	struct gateway_service *s;
@@ -26,6 +26,20 @@
 	return s && s->keeper ? s : NULL;
 }
 
+uint64_t gateway_owner(void *gateway, const char *service, uint32_t key)
+{
+	struct gateway_service *s = gateway_keyed_service(gateway, service);
+
+	return s ? keeper_owner(s->keeper, key) : 0;
+}
+
+struct str gateway_region_of(const struct gateway *g, uint64_t upstream)
+{
+	const struct fleet_upstream *u = upstream ? fleet_find(g->fleet, upstream) : NULL;
+
+	return u ? gwset_region(&g->settings, str_from(u->failure_domain)) : STR_NULL;
+}
+
 /* ---- map of owners -------------------------------------------------------------------------- */
 
 void gateway_map_changed(struct gateway *g, struct gateway_service *s)
@@ -108,7 +122,7 @@
 
 static void on_key_map(struct gateway *g, uint64_t from, const Bc__KeyMap *map)
 {
-	struct gateway_service *s = find_service(g, map->service);
+	struct gateway_service *s = gateway_keyed_service(g, map->service);
 
 	if (s && keeper_apply_map(s->keeper, map) == KEYMAP_GAP)
 		ask_whole_map(g, s, from);
@@ -118,7 +132,7 @@
 
 void gateway_on_key(void *gateway, const char *service, uint32_t key)
 {
-	struct gateway_service *s = find_service(gateway, service);
+	struct gateway_service *s = gateway_keyed_service(gateway, service);
 
 	if (!s)
 		return;
@@ -191,7 +205,7 @@
 
 static void on_key_load(struct gateway *g, const Bc__KeyLoad *msg)
 {
-	struct gateway_service *s = find_service(g, msg->service);
+	struct gateway_service *s = gateway_keyed_service(g, msg->service);
 
 	if (!s || !keeper_is_keeping(s->keeper))
 		return;
@@ -213,7 +227,7 @@
 		on_key_map(g, from, frame->key_map);
 		return true;
 	case BC__FRAME__BODY_KEY_MAP_GET:
-		s = find_service(g, frame->key_map_get->service);
+		s = gateway_keyed_service(g, frame->key_map_get->service);
 		if (s && keeper_is_keeping(s->keeper))
 			send_whole_map(g, s, from);
 		return true;
--- a/src/process/gateway_link.c
+++ b/src/process/gateway_link.c
@@ -45,9 +45,12 @@
 	char name[FLEET_NAME_BYTES];
 	struct link *l;
 
+	if (bytes < LINK_BULK_BYTES)
+		return true; /* most requests: no owner has to be looked up */
+	snprintf(name, sizeof(name), "%.*s", STR_ARG(service->name));
 	if (service->keyed)
-		region = gateway_owner_region(g, service->name, key);
-	if (bytes < LINK_BULK_BYTES || !region.len || str_eq(region, g->settings.region))
+		region = gateway_region_of(g, gateway_owner(g, name, key));
+	if (!region.len || str_eq(region, g->settings.region))
 		return true;
 	snprintf(name, sizeof(name), "%.*s", STR_ARG(region));
 	l = link_to(g, name, now);
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -108,8 +108,6 @@
 
 static void on_pulse(struct gateway *g, struct gateway_peer *p, const Bc__Pulse *msg)
 {
-	struct gateway_service *s;
-
 	p->draining = msg->draining;
 	p->store_ok = msg->store_ok;
 	p->store_ms = msg->store_ms;
@@ -121,13 +119,12 @@
 	p->reads = msg->reads;
 	p->n_keeps = 0;
 	for (size_t i = 0; i < msg->n_keeper && p->n_keeps < GATEWAY_MAX_KEEPS; i++) {
-		uint64_t id = str_hash(str_from(msg->keeper[i]->service));
+		struct gateway_service *s = gateway_keyed_service(g, msg->keeper[i]->service);
 
-		p->keeps[p->n_keeps].service = id;
+		p->keeps[p->n_keeps].service = str_hash(str_from(msg->keeper[i]->service));
 		p->keeps[p->n_keeps].term = msg->keeper[i]->term;
 		p->n_keeps++;
-		HASH_FIND(hh, g->services, &id, sizeof(id), s);
-		if (!s || !s->keeper)
+		if (!s)
 			continue;
 		keeper_heard(s->keeper, msg->keeper[i]->term);
 		gateway_check_map(g, s, p->node, msg->keeper[i]->term, msg->keeper[i]->version);
@@ -269,32 +266,17 @@
 	return best;
 }
 
-static const struct fleet_upstream *owner_of(struct gateway *g, struct str service, uint32_t key)
-{
-	struct gateway_service *s = gateway_service(g, service);
-	uint64_t owner = s->keeper ? keeper_owner(s->keeper, key) : 0;
-
-	return owner ? fleet_find(g->fleet, owner) : NULL;
-}
-
-struct str gateway_owner_region(struct gateway *g, struct str service, uint32_t key)
-{
-	const struct fleet_upstream *u = owner_of(g, service, key);
-
-	return u ? gwset_region(&g->settings, str_from(u->failure_domain)) : STR_NULL;
-}
-
 /* Each upstream of a service divided by key has its own lender, near to it. */
 static uint64_t lender_of_key(struct gateway *g, const struct slot_pool *pool, uint32_t key)
 {
-	const struct fleet_upstream *u = owner_of(g, str_from(pool->service), key);
-	struct str region = gateway_owner_region(g, str_from(pool->service), key);
+	uint64_t owner = gateway_owner(g, pool->service, key);
+	struct str region = gateway_region_of(g, owner);
 	char name[FLEET_NAME_BYTES];
 
 	if (!region.len)
 		return 0;
 	snprintf(name, sizeof(name), "%.*s", STR_ARG(region));
-	return highest_weight(g, name, u->num);
+	return highest_weight(g, name, owner);
 }
 
 uint64_t gateway_lender(void *gateway, const struct slot_pool *pool, uint32_t key)
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -159,8 +159,12 @@
 bool gateway_peers_open(struct gateway *g, struct err *err);
 /* State of this gateway to the peers; `everyone` includes those of other regions. */
 struct gateway_peer *gateway_find_peer(struct gateway *g, uint64_t node);
-/* Region of the upstream that owns the key, empty if that is not known. */
-struct str gateway_owner_region(struct gateway *g, struct str service, uint32_t key);
+/* A service that is divided by key, NULL if it is not known as one. */
+struct gateway_service *gateway_keyed_service(struct gateway *g, const char *name);
+/* Upstream that owns the key, 0 if none is known. */
+uint64_t gateway_owner(void *gateway, const char *service, uint32_t key);
+/* Empty if the upstream is not known. */
+struct str gateway_region_of(const struct gateway *g, uint64_t upstream);
 /* Time until a message to a gateway was answered, or that has passed without an answer. */
 void gateway_note_answer(void *gateway, uint64_t node, clk_ms ms);
 /* Whether the link that the request has to cross, if any, has room for its body. */
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -280,17 +280,18 @@
 
 static void push_changes(struct gateway *g, enum meta_table table, uint64_t since, bool recovered)
 {
-	struct readers r = list_readers(g, clk_now());
 	struct arena arena = ARENA_INIT;
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__TableCopy msg;
 	struct gateway_peer *p;
 	struct gateway_peer *tmp;
+	struct readers r;
 
-	if (!since || !readers_has(&r, g->node) || !has_listeners(g)) {
-		free(r.nodes);
+	if (!since || !has_listeners(g))
 		return;
-	}
+	r = list_readers(g, clk_now());
+	if (!readers_has(&r, g->node))
+		goto out;
 	pack_changes(g, table, since, &arena, &msg);
 	msg.recovered = recovered;
 	frame.body_case = BC__FRAME__BODY_TABLE_COPY;
@@ -301,6 +302,7 @@
 		ctr_inc(&ctr_pushed);
 		gateway_send(g, p->node, &frame);
 	}
+out:
 	arena_free(&arena);
 	free(r.nodes);
 }
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -689,8 +689,10 @@
 {
 	struct forward *next;
 
-	l->closed = !MUTANT(forward_cut_waiting);
-	for (struct forward *f = l->forwards; f && l->closed; f = next) {
+	if (l->closed || MUTANT(forward_cut_waiting))
+		return;
+	l->closed = true;
+	for (struct forward *f = l->forwards; f; f = next) {
 		next = f->next;
 		if (f->call)
 			continue;
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -180,6 +180,18 @@
 	return ((struct outcome *)data)->decided;
 }
 
+/* The slot of the first request comes back, and the second one gets it. */
+static void serve_in_turn(struct world *w, struct outcome *first, struct outcome *second)
+{
+	done(w, 0, first);
+	ck_assert(unit_run_until(w->loop, is_decided, second));
+	ck_assert(second->granted);
+	ck_assert_uint_eq(second->lease.lender, 1);
+	done(w, 1, second);
+	slots_ask_release(w->gateways[0].slots, &first->ask);
+	slots_ask_release(w->gateways[1].slots, &second->ask);
+}
+
 /* Guards against two gateways that each use the only slot of an upstream. */
 START_TEST(one_slot_for_both_gateways)
 {
@@ -193,13 +205,7 @@
 	ck_assert(a.decided && a.granted);
 	unit_run_for(w.loop, 200);
 	ck_assert(!b.decided);
-	done(&w, 0, &a);
-	ck_assert(unit_run_until(w.loop, is_decided, &b));
-	ck_assert(b.granted);
-	ck_assert_uint_eq(b.lease.lender, 1);
-	done(&w, 1, &b);
-	slots_ask_release(w.gateways[0].slots, &a.ask);
-	slots_ask_release(w.gateways[1].slots, &b.ask);
+	serve_in_turn(&w, &a, &b);
 	teardown(&w);
 }
 END_TEST
@@ -293,13 +299,7 @@
 	ck_assert(unit_run_until(w.loop, is_decided, &a));
 	unit_run_for(w.loop, 50);
 	ck_assert(a.granted && !b.decided);
-	done(&w, 0, &a);
-	ck_assert(unit_run_until(w.loop, is_decided, &b));
-	ck_assert(b.granted);
-	ck_assert_uint_eq(b.lease.lender, 1);
-	done(&w, 1, &b);
-	slots_ask_release(w.gateways[0].slots, &a.ask);
-	slots_ask_release(w.gateways[1].slots, &b.ask);
+	serve_in_turn(&w, &a, &b);
 	teardown(&w);
 }
 END_TEST
