upconn, ingress: limit the memory that all answers take together

Cause: the bound of 32 MiB holds for one answer; nothing bounded all of them. An upstream that answers without end, chunked or until close, cost 60 callers 32 MiB each, and the next callers the same again. Change: pools share one count of unfinished and unwritten answers, a third of the memory limit. Over it the upstream whose answers take most loses its largest one. One that loses four in a row or exceeds 32 MiB may for 60 s send only 1 MiB without announcing a length. Large blocks are returned to the system when freed (fixed mmap threshold). More than 16 answers to other requests on a connection end it. Large answers are still read whole before they are passed on.

--- a/src/bin/gateway.c
+++ b/src/bin/gateway.c
@@ -3,6 +3,7 @@
  * store of a platform and keeps durable state there.
  */
 #include <signal.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -14,6 +15,12 @@
 
 #define SETTINGS_VARIABLE "BAMBOOCROFT_SETTINGS"
 
+/*
+ * Bodies larger than this get memory of their own, which returns to the system when it is freed; by
+ * default malloc() raises the threshold with each such body and keeps more and more memory.
+ */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
+
 static const struct log log = {"gateway"};
 
 struct options {
@@ -87,6 +94,8 @@
 	signal(SIGTERM, on_stop_signal);
 	signal(SIGINT, on_stop_signal);
 	signal(SIGHUP, on_reload_signal);
+	if (!mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES))
+		log_warn(&log, "cannot set the threshold of large allocations");
 	log_to_stdout();
 	g = gateway_create(&plat, &options, &err);
 	if (!g) {
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -55,10 +55,12 @@
 	bool close_after;   /* close after the response */
 	size_t body_length; /* content-length, 0 if chunked */
 	char *body;
-	size_t body_len;       /* bytes read so far */
-	size_t body_capacity;  /* allocated size of `body` */
-	size_t raw_body_bytes; /* chunked body bytes received, with chunk framing */
-	char *write_buf;       /* response being written */
+	size_t body_len;	       /* bytes read so far */
+	size_t body_capacity;	       /* allocated size of `body` */
+	size_t raw_body_bytes;	       /* chunked body bytes received, with chunk framing */
+	char *write_buf;	       /* response being written */
+	size_t write_bytes;	       /* size of `write_buf` as counted in `answers` */
+	struct answer_memory *answers; /* where the response being written is counted, or NULL */
 	struct phr_chunked_decoder chunks;
 	struct ingress_conn *prev;
 	struct ingress_conn *next;
@@ -105,6 +107,24 @@
 	c->raw_body_bytes = 0;
 }
 
+/* Counts a response that is being written, see answer_memory.h. */
+static void count_response(struct ingress_conn *c, size_t bytes)
+{
+	c->answers = c->in->handlers.limits(c->in->data)->answers;
+	c->write_bytes = bytes;
+	if (c->answers)
+		c->answers->used += bytes;
+}
+
+static void free_response(struct ingress_conn *c)
+{
+	free(c->write_buf);
+	c->write_buf = NULL;
+	if (c->answers)
+		c->answers->used -= c->write_bytes;
+	c->answers = NULL;
+}
+
 /* Closes and frees a connection; reports the close if its request is being handled. */
 static void conn_free(struct ingress_conn *c)
 {
@@ -119,7 +139,7 @@
 	} else {
 		conn_detach_request(c);
 	}
-	free(c->write_buf);
+	free_response(c);
 	timer_release(&c->timer);
 	in->n_conns--;
 	h2o_socket_close(c->sock);
@@ -173,8 +193,7 @@
 		conn_close(c);
 		return;
 	}
-	free(c->write_buf);
-	c->write_buf = NULL;
+	free_response(c);
 	if (c->close_after) {
 		conn_linger(c);
 		return;
@@ -621,6 +640,7 @@
 		memcpy(head + at, body.ptr, body.len);
 		at += body.len;
 	}
+	count_response(c, at);
 	conn_detach_request(c);
 	c->state = CONN_WRITING;
 	/* Closes the connection if the caller does not read the response in time. */
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -18,6 +18,7 @@
 #include "base/clk.h"
 #include "base/err.h"
 #include "base/str.h"
+#include "connection/answer_memory.h"
 
 struct ingress_header {
 	struct str name; /* lower case */
@@ -49,6 +50,7 @@
 	size_t max_total_body_bytes; /* bodies of all requests together; 0: no limit */
 	clk_ms header_timeout;	     /* for reading a request head, from its first byte */
 	clk_ms idle_timeout; /* between requests, between body reads, and to write a response */
+	struct answer_memory *answers; /* counts responses being written; NULL: not counted */
 };
 
 struct ingress_handlers {
--- a/src/connection/upconn.c
+++ b/src/connection/upconn.c
@@ -236,10 +236,12 @@
 		answer.headers = call->headers;
 		answer.n_headers = call->n_headers;
 		answer.body = (struct str){call->body, call->body_len};
+		upconn_memory_note_complete(call);
 	}
 	if (call->conn)
 		conn_release(call->conn, reusable && !call->pool->retired);
 	timer_cancel(&call->timer);
+	upconn_memory_release(call);
 	call_unlink(call);
 	pool_destroy_if_retired(call->pool);
 	call->cb(call->data, &answer);
@@ -254,6 +256,17 @@
 	timer_arm(&call->timer, 0);
 }
 
+void upconn_call_abort(struct upconn_call *call, enum upconn_result result)
+{
+	conn_close(call->conn);
+	upconn_memory_release(call);
+	free(call->body);
+	call->body = NULL;
+	call->body_len = 0;
+	call->body_capacity = 0;
+	call_fail_async(call, result);
+}
+
 static void on_timer(struct timer *timer, void *data)
 {
 	struct upconn_call *call = data;
@@ -514,6 +527,7 @@
 {
 	if (call->conn)
 		conn_close(call->conn);
+	upconn_memory_release(call);
 	call_unlink(call);
 	pool_destroy_if_retired(call->pool);
 	call_free(call);
@@ -556,6 +570,7 @@
 	if (inet_pton(AF_INET, ip, &pool->address.sin_addr) != 1)
 		log_error(&log, "'%s' is not an IPv4 address; connections to it will fail", ip);
 	snprintf(pool->host, sizeof(pool->host), "%.15s:%u", ip, (unsigned)(port & 0xffff));
+	upconn_memory_join(pool);
 	return pool;
 }
 
@@ -611,8 +626,10 @@
 		pool->calls = call->next;
 		if (call->conn)
 			conn_close(call->conn);
+		upconn_memory_release(call);
 		call_free(call);
 	}
 	idle_close_all(pool);
+	upconn_memory_leave(pool);
 	free(pool);
 }
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -19,6 +19,7 @@
 
 #include "base/clk.h"
 #include "base/str.h"
+#include "connection/answer_memory.h"
 
 #define UPCONN_MAX_ANSWER_BYTES (32u * 1024 * 1024)
 
@@ -43,7 +44,8 @@
 	UPCONN_TIMEOUT, /* no complete response in time; `sent`: whether the write began */
 	/* The response lacks the request id, repeats it or has another; the connection closed. */
 	UPCONN_MISMATCH,
-	UPCONN_TOO_LARGE, /* response head or body over its size limit */
+	/* Response head or body over its size limit, or ended because memory is short. */
+	UPCONN_TOO_LARGE,
 };
 
 /* Returns the result's name as it is written to logs, for example "connect-failed". */
@@ -124,6 +126,9 @@
 	bool allow_close_delimited;
 	/* Skips a complete response with another request id instead of closing the connection. */
 	bool skip_mismatched;
+	/* Counts and limits unfinished responses, shared by pools; outlives them. NULL: no limit.
+	 */
+	struct answer_memory *memory;
 };
 
 /* Creates a pool that keeps `max_idle` idle connections; the other options are off. */
--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -14,6 +14,8 @@
  * body. */
 #define MAX_CHUNK_OVERHEAD_BYTES (1024u * 1024)
 #define MAX_INTERIM_ANSWERS 16 /* 1xx responses accepted before the final response */
+/* Responses to other requests that are skipped before the connection is given up. */
+#define MAX_SKIPPED_ANSWERS 16
 
 static const struct log log = {"upconn"};
 CTR(ctr_malformed, "upconn_malformed_total", "Connections closed because of a malformed answer.");
@@ -32,6 +34,7 @@
 {
 	ctr_inc(&ctr_too_large);
 	log_error(&log, "closed the connection to %s: %s", call->pool->host, what);
+	upconn_suspect(call);
 	upconn_call_finish(call, UPCONN_TOO_LARGE, false);
 }
 
@@ -245,7 +248,7 @@
 	 * options allow it; one without any id may belong to this request, so the call ends.
 	 */
 	if (call->mismatched && found_id && call->pool->opts.skip_mismatched &&
-	    call->framing != UPCONN_FRAMING_CLOSE) {
+	    call->framing != UPCONN_FRAMING_CLOSE && ++call->n_skipped <= MAX_SKIPPED_ANSWERS) {
 		ctr_inc(&ctr_mismatch);
 		log_info(&log, "skipping an answer of %s to another request", call->pool->host);
 	} else if (call->mismatched) {
@@ -290,6 +293,7 @@
 {
 	call->have_head = false;
 	call->mismatched = false;
+	upconn_memory_release(call);
 	call->body_len = 0;
 	call->raw_body_bytes = 0;
 	call->server_idle_timeout = 0;
@@ -323,13 +327,13 @@
 		call_malformed(call, "the answer's chunks cannot be parsed");
 		return true;
 	}
-	if (call->body_len > UPCONN_MAX_ANSWER_BYTES ||
+	if (call->body_len > upconn_max_answer(call) ||
 	    call->raw_body_bytes > UPCONN_MAX_ANSWER_BYTES + MAX_CHUNK_OVERHEAD_BYTES) {
-		call_too_large(call, "the body of the answer is over 32 MiB");
+		call_too_large(call, "the body of the answer is over its limit");
 		return true;
 	}
 	if (left < 0)
-		return false;
+		return upconn_memory_count(call);
 	if (call->mismatched) {
 		/* The decoder left the bytes after the last chunk in the body buffer. */
 		push_back_input(sock, call->body + call->body_len, (size_t)left);
@@ -351,13 +355,13 @@
 	if (call->framing == UPCONN_FRAMING_CHUNKED)
 		return read_chunks(call, sock);
 	if (call->framing == UPCONN_FRAMING_CLOSE) {
-		if (call->body_len + sock->input->size > UPCONN_MAX_ANSWER_BYTES) {
-			call_too_large(call, "the body of the answer is over 32 MiB");
+		if (call->body_len + sock->input->size > upconn_max_answer(call)) {
+			call_too_large(call, "the body of the answer is over its limit");
 			return true;
 		}
 		body_append(call, sock->input->bytes, sock->input->size);
 		h2o_buffer_consume(&sock->input, sock->input->size);
-		return false;
+		return upconn_memory_count(call);
 	}
 	if (call->framing == UPCONN_FRAMING_LENGTH) {
 		take = call->content_length - call->body_len;
@@ -366,7 +370,7 @@
 		body_append(call, sock->input->bytes, take);
 		h2o_buffer_consume(&sock->input, take);
 		if (call->body_len < call->content_length)
-			return false;
+			return upconn_memory_count(call);
 	}
 	if (call->mismatched) {
 		discard_answer(call);
--- a/src/connection/upconn_priv.h
+++ b/src/connection/upconn_priv.h
@@ -43,8 +43,13 @@
 	clk_ms conn_lost_at;	  /* see upconn_conn_lost_at() */
 	struct upconn_conn *idle_conns;
 	struct upconn_call *calls;
-	uint64_t generation; /* connections of an earlier generation are not reused */
-	bool retired;	     /* destroyed when the last call has ended */
+	struct upconn_pool *memory_prev; /* list of the pools that share `opts.memory` */
+	struct upconn_pool *memory_next;
+	size_t answer_bytes;  /* read of unfinished responses, part of `opts.memory->used` */
+	unsigned n_ended;     /* responses ended for lack of memory, in a row */
+	clk_ms suspect_until; /* the server may send endless responses, see upconn_memory.c */
+	uint64_t generation;  /* connections of an earlier generation are not reused */
+	bool retired;	      /* destroyed when the last call has ended */
 };
 
 /* What marks the end of a response body. */
@@ -86,6 +91,8 @@
 	char *body;
 	size_t body_len;
 	size_t body_capacity;  /* allocated size of `body` */
+	size_t counted_bytes;  /* bytes of `body` that are counted in the pool's memory */
+	unsigned n_skipped;    /* responses to other requests received */
 	size_t raw_body_bytes; /* chunked body bytes received, with chunk framing */
 
 	struct upconn_call *prev;
@@ -100,7 +107,30 @@
  * pool nor the connection may be used afterwards.
  */
 void upconn_call_finish(struct upconn_call *call, enum upconn_result result, bool reusable);
+/*
+ * Closes the connection of the call and frees what was read of its response; reports the result
+ * from the loop, so the call stays valid until then.
+ */
+void upconn_call_abort(struct upconn_call *call, enum upconn_result result);
 /* Read callback of a connection that carries a call. */
 void upconn_on_read(h2o_socket_t *sock, const char *err);
 
+/* upconn_memory.c */
+/* Adds the pool to those that share its memory, or removes it. */
+void upconn_memory_join(struct upconn_pool *pool);
+void upconn_memory_leave(struct upconn_pool *pool);
+/*
+ * Counts what was read of the call's body and ends the largest responses while all together exceed
+ * the limit. Returns true if the call itself was ended with upconn_call_abort().
+ */
+bool upconn_memory_count(struct upconn_call *call);
+/* Called when the response of the call is complete. */
+void upconn_memory_note_complete(struct upconn_call *call);
+/* Ends the count of the call's body; the pool must still exist. */
+void upconn_memory_release(struct upconn_call *call);
+/* Returns the largest body that the call may receive. */
+size_t upconn_max_answer(const struct upconn_call *call);
+/* Limits further responses of the server if this one has no announced length. */
+void upconn_suspect(struct upconn_call *call);
+
 #endif
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -39,6 +39,8 @@
  * to upstreams takes memory, too.
  */
 #define BODY_MEMORY_DIVISOR 3
+/* All answers of upstreams together may take 1/3 of the memory limit. */
+#define ANSWER_MEMORY_DIVISOR 3
 /* How long crashes of upstreams count towards the quarantine of a request. */
 #define CRASH_WINDOW_MS (10 * 60 * 1000)
 /* Longest wait of one iteration of the event loop; log lines are written at least this often. */
@@ -183,6 +185,7 @@
 		.slots = g->slots,
 		.split = g->split,
 		.crashes = g->crashes,
+		.answers = &g->answers,
 		.data = g,
 		.topo = current_topo,
 		.note_request = note_request,
@@ -222,7 +225,7 @@
 static const struct ingress_limits *limits(void *data)
 {
 	static struct ingress_limits current;
-	const struct gateway *g = data;
+	struct gateway *g = data;
 	const struct topo_limits *l = g->topo ? &g->topo->limits : &topo_default_limits;
 
 	current = (struct ingress_limits){
@@ -231,6 +234,7 @@
 		.max_total_body_bytes = g->settings.memory_bytes / BODY_MEMORY_DIVISOR,
 		.header_timeout = l->header_timeout,
 		.idle_timeout = l->idle_timeout,
+		.answers = &g->answers,
 	};
 	return &current;
 }
@@ -459,6 +463,7 @@
 	};
 	struct forward_env env;
 
+	g->answers.limit = g->settings.memory_bytes / ANSWER_MEMORY_DIVISOR;
 	g->fleet = fleet_create(&fleet_handlers, g);
 	g->slots = slots_create(&slots_env);
 	g->split = split_create(g->node);
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -131,6 +131,7 @@
 	struct split *split;
 	struct quarantine *crashes; /* crashed upstreams, counted by request fingerprint */
 	struct forward_list *forwards;
+	struct answer_memory answers; /* of upstreams, read and being written */
 
 	struct topo *topo;   /* configuration in force, NULL before the first one */
 	bool have_upstreams; /* the table of upstreams was read at least once */
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -487,6 +487,7 @@
 		.dead_peer_timeout = SILENCE_LIMIT_MS,
 		.allow_close_delimited = true,
 		.skip_mismatched = true,
+		.memory = env->answers,
 	};
 
 	return upconn_pool_create_with(env->loop, u->ip, u->port, &opts);
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -25,7 +25,8 @@
 	struct fleet *fleet;
 	struct slots *slots;
 	struct split *split;
-	struct quarantine *crashes; /* crash counts by request fingerprint */
+	struct quarantine *crashes;    /* crash counts by request fingerprint */
+	struct answer_memory *answers; /* limits the answers being read */
 	void *data;
 	/* Returns the configuration in force, NULL before the first one. */
 	struct topo *(*topo)(void *data);
