gateway: a new connection gets a heartbeat, not all connections

Cause: on each new connection a gateway sent its heartbeat to all its peers, so that 295 gateways that start together sent 295^3 / 2 heartbeats. They filled the link between the regions; configuration, registrations and calls of the store waited behind them. Ruled out: request bodies (the link carries 0.05 GB now, uploads included), processor time (0.14 of a core at most before).

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -72,7 +72,21 @@
 	return str_eq_cstr(g->settings.region, p->region);
 }
 
-void gateway_send_heartbeat(struct gateway *g, bool all_regions)
+/* Which peers get a heartbeat. */
+struct audience {
+	bool all_regions; /* those of other regions, too */
+	uint64_t node;	  /* only this peer, 0: any */
+};
+
+static bool is_in_audience(const struct gateway *g, const struct gateway_peer *p,
+			   const struct audience *to)
+{
+	if (to->node)
+		return p->node == to->node;
+	return to->all_regions || gateway_in_same_region(g, p);
+}
+
+static void send_heartbeat(struct gateway *g, const struct audience *to)
 {
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__Pulse msg = BC__PULSE__INIT;
@@ -106,13 +120,20 @@
 	frame.body_case = BC__FRAME__BODY_PULSE;
 	frame.pulse = &msg;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
-		if (!all_regions && !gateway_in_same_region(g, p))
+		if (!is_in_audience(g, p, to))
 			continue;
 		ctr_inc(&ctr_heartbeats_sent);
 		peer_send(g->peers, p->node, &frame);
 	}
 }
 
+void gateway_send_heartbeat(struct gateway *g, bool all_regions)
+{
+	struct audience to = {.all_regions = all_regions};
+
+	send_heartbeat(g, &to);
+}
+
 /*
  * Updates the state of a peer from its heartbeat; `msg->keeper` lists the services for which the
  * peer is shard manager. Requests ownership maps and table rows that the peer has newer.
@@ -188,7 +209,7 @@
 		snprintf(p->region, sizeof(p->region), "%s", peer->region);
 		HASH_ADD(hh, g->peer_states, node, sizeof(p->node), p);
 	}
-	gateway_send_heartbeat(g, true);
+	send_heartbeat(g, &(struct audience){.node = peer->node});
 	gateway_send_maps(g, peer->node);
 	/* Table changes may have been lost with the last connection to this peer. */
 	if (watch_is_passive(g->watch))
