gateway: connections to hubs only; others get all tables from them

Cause: 295 gateways kept a full mesh of 43,000 links. Each read three tables of the store at its start and followed them until it knew its readers; each sent a heartbeat every 200 ms to all of its region. Change: hubs.c chooses the hubs of a region from the table of gateways, the strongest first, twelve or the square root. Others connect to hubs only, take no roles, begin passive and get all tables, that of the gateways too, from hubs. A heartbeat names its interval, the receiver waits for three of them: 200 ms between hubs of a region, 400 ms where a role depends on it, 2 s and 10 s where it only shows a dead connection. Unacknowledged bytes end a connection after 3 s. A controller that is silent when asked gets no requests for 1 s. Every gateway now tells a shard manager that it lives, so that a majority can be counted across regions. Registration waits longer on weaker machines at the first start. Ruled out: one hub for each region (its loss would stop admission there); registering hubs only (the retry budget is shared by the number of registered gateways). Gateways of the build before and after close each other's connections after 600 ms: no rolling change.

--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -35,6 +35,8 @@
 {
 	if (!c->hello)
 		return HANDSHAKE_TIMEOUT_MS;
+	if (c->timeout)
+		return c->timeout;
 	return c->remote ? PEER_REMOTE_RECEIVE_TIMEOUT_MS : PEER_RECEIVE_TIMEOUT_MS;
 }
 
@@ -46,14 +48,18 @@
 	return c->connected && ioctl(h2o_socket_get_fd(c->sock), FIONREAD, &n) == 0 && n > 0;
 }
 
+/* Returns when bytes were received last, or when this process went on after a pause. */
+static clk_ms silent_since(const struct peer_conn *c)
+{
+	return c->info.last_received_at > c->set->last_resumed_at ? c->info.last_received_at
+								  : c->set->last_resumed_at;
+}
+
 /* Closes the connection on receive timeout and sends the keep-alive frame to other regions. */
 static void check_conn(struct peer_conn *c, clk_ms now)
 {
 	Bc__Frame empty = BC__FRAME__INIT;
-	clk_ms since = c->info.last_received_at > c->set->last_resumed_at ? c->info.last_received_at
-									  : c->set->last_resumed_at;
-
-	if (now - since > receive_timeout(c) && !socket_has_unread_input(c) &&
+	if (now - silent_since(c) > receive_timeout(c) && !socket_has_unread_input(c) &&
 	    !MUTANT(peer_ignore_silence)) {
 		ctr_inc(&ctr_receive_timeouts);
 		log_warn(&log, "closed the connection %s %s: no bytes received for %lld ms",
@@ -62,7 +68,8 @@
 		peer_conn_close(c);
 		return;
 	}
-	if (c->remote && c->current && now - c->last_sent >= PEER_REMOTE_KEEPALIVE_MS)
+	if (c->remote && !c->timeout && c->current &&
+	    now - c->last_sent >= PEER_REMOTE_KEEPALIVE_MS)
 		peer_conn_send(c, &empty);
 }
 
@@ -209,23 +216,37 @@
 	timer_arm(&set->tick, 0);
 }
 
-void peer_remove_address(struct peer_set *set, const char *ip, uint32_t port)
+/* Removes the target of the address, if there is one. */
+static void remove_target(struct peer_set *set, const struct sockaddr_in *address)
 {
-	struct sockaddr_in address;
-
-	if (!peer_address_set(&address, ip, port))
-		return;
 	for (struct peer_target **at = &set->targets; *at; at = &(*at)->next) {
 		struct peer_target *t = *at;
 
-		if (peer_address_compare(&t->address, &address) != 0)
+		if (peer_address_compare(&t->address, address) != 0)
 			continue;
 		*at = t->next;
 		if (t->dialled_conn)
 			t->dialled_conn->target = NULL;
 		free(t);
-		break;
+		return;
 	}
+}
+
+void peer_drop_address(struct peer_set *set, const char *ip, uint32_t port)
+{
+	struct sockaddr_in address;
+
+	if (peer_address_set(&address, ip, port))
+		remove_target(set, &address);
+}
+
+void peer_remove_address(struct peer_set *set, const char *ip, uint32_t port)
+{
+	struct sockaddr_in address;
+
+	if (!peer_address_set(&address, ip, port))
+		return;
+	remove_target(set, &address);
 	for (struct peer_conn *c = set->conns; c; c = c->next) {
 		if (!c->closed && peer_address_compare(&c->address, &address) == 0 &&
 		    (c->hello || c->dialled))
@@ -233,6 +254,21 @@
 	}
 }
 
+void peer_set_timeout(struct peer_set *set, uint64_t node, clk_ms timeout)
+{
+	struct peer_conn *c = peer_find_node(set, node);
+
+	if (c)
+		c->timeout = timeout;
+}
+
+clk_ms peer_silence(const struct peer_set *set, uint64_t node)
+{
+	const struct peer_conn *c = peer_find_node(set, node);
+
+	return c && !socket_has_unread_input(c) ? clk_now() - silent_since(c) : 0;
+}
+
 bool peer_send(struct peer_set *set, uint64_t node, Bc__Frame *frame)
 {
 	struct peer_conn *c = peer_find_node(set, node);
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -7,6 +7,8 @@
  * A connection is closed if nothing is received on it for 600 ms, or 6 s if the peer is in another
  * region. Within a region the owner of the set has to send heartbeats often enough; to other
  * regions the set itself sends an empty frame every 2 s, since that traffic is billed by volume.
+ * An owner that sends heartbeats of its own at other intervals sets the times for each peer with
+ * peer_set_timeout(). The kernel closes a connection whose other end acknowledges nothing for 3 s.
  */
 #ifndef CONNECTION_PEER_H
 #define CONNECTION_PEER_H
@@ -68,9 +70,22 @@
 
 /* Keeps a connection to the address; known addresses and the set's own are ignored. */
 void peer_add_address(struct peer_set *set, const char *ip, uint32_t port);
+/* Stops dialling the address; an open connection stays. */
+void peer_drop_address(struct peer_set *set, const char *ip, uint32_t port);
 /* Stops dialling the address and closes open connections to it. */
 void peer_remove_address(struct peer_set *set, const char *ip, uint32_t port);
 
+/*
+ * Sets how long the connection to a node may be without received bytes until it is closed, and that
+ * the set itself sends no empty frames on it. Lasts until the connection closes.
+ */
+void peer_set_timeout(struct peer_set *set, uint64_t node, clk_ms timeout);
+/*
+ * Returns for how long nothing has been received from a node; 0 if it has no connection, if
+ * received bytes wait to be read, or if this process was paused meanwhile.
+ */
+clk_ms peer_silence(const struct peer_set *set, uint64_t node);
+
 /*
  * Sets the frame's sender and timestamp (hlc) and queues the frame for the node. Returns false if
  * there is no connection to the node, the frame is too long, or the connection was closed because
--- a/src/connection/peer_dial.c
+++ b/src/connection/peer_dial.c
@@ -6,15 +6,20 @@
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/ctr.h"
+#include "base/log.h"
 
 #define DIAL_BACKOFF_MAX_MS 2000
 /* Refuses a new connection while this many accepted ones have not sent HELLO. */
 #define MAX_UNIDENTIFIED_CONNS 64
+/* The kernel closes a connection whose other end acknowledges nothing for this long. */
+#define UNACKED_TIMEOUT_MS 3000
 
+static const struct log log = {"peer"};
 CTR(ctr_refused, "peer_refused_total", "Accepted connections refused, too many without HELLO.");
 
 bool peer_address_set(struct sockaddr_in *out, const char *ip, uint32_t port)
@@ -95,9 +100,13 @@
 
 static void start_handshake(struct peer_conn *c)
 {
+	int fd = h2o_socket_get_fd(c->sock);
+	unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
 	int on = 1;
 
-	setsockopt(h2o_socket_get_fd(c->sock), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) != 0 ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof(unacked_ms)) != 0)
+		log_warn(&log, "cannot set options of a connection to a peer: %s", strerror(errno));
 	c->connected = true;
 	h2o_socket_read_start(c->sock, peer_on_read);
 	send_hello(c);
--- a/src/connection/peer_priv.h
+++ b/src/connection/peer_priv.h
@@ -57,6 +57,7 @@
 	bool remote;		    /* the peer is in another region */
 	struct peer_info info;
 	struct arena arena; /* strings of `info` */
+	clk_ms timeout;	    /* see peer_set_timeout(), 0: not set */
 	clk_ms last_sent;   /* when a frame was last queued */
 	struct peer_buffer *queue;
 	struct peer_buffer **queue_end;
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -13,16 +13,8 @@
 #include "connection/upconn.h"
 
 #define TICK_MS 100
-/*
- * Interval of heartbeats in the same region; a peer from which nothing arrives for
- * PEER_RECEIVE_TIMEOUT_MS counts as failed.
- */
-#define HEARTBEAT_MS 200
-/*
- * Interval of a shard manager's heartbeats to other regions; longer, since links between regions
- * are billed by volume.
- */
-#define REMOTE_HEARTBEAT_MS 400
+/* How often it is checked for which peers a heartbeat is due. */
+#define HEARTBEAT_CHECK_MS 200
 /* How often the settings file is checked for changes, which may come without a signal. */
 #define SETTINGS_CHECK_MS 1000
 /*
@@ -163,6 +155,7 @@
 	quarantine_crash(g->crashes, clk_now(), fingerprint, upstream);
 	msg.fingerprint = fingerprint;
 	msg.upstream = upstream;
+	msg.relay = !g->is_hub; /* a hub is connected to all gateways */
 	frame.body_case = BC__FRAME__BODY_CRASH;
 	frame.crash = &msg;
 	gateway_broadcast(g, &frame);
@@ -373,7 +366,7 @@
 	gateway_send_heartbeat(g, true);
 }
 
-static bool is_shardmgr(const struct gateway *g)
+bool gateway_is_shardmgr(const struct gateway *g)
 {
 	const struct gateway_service *s;
 
@@ -391,7 +384,7 @@
 	if (since >= STOP_ACCEPT_MS)
 		ingress_shutdown(g->callers);
 	if (since >= STOP_ACCEPT_MS && !forward_list_open(g->forwards) &&
-	    !ingress_open_requests(g->callers) && !is_shardmgr(g))
+	    !ingress_open_requests(g->callers) && !gateway_is_shardmgr(g))
 		g->stopped = true;
 	if (since >= g->settings.stop_grace - STOP_MARGIN_MS - STOP_REFUSE_MS)
 		forward_close(g->forwards);
@@ -412,6 +405,7 @@
 		begin_shutdown(g, now);
 	if (g->draining)
 		continue_shutdown(g, now);
+	gateway_update_mesh(g, now);
 	gateway_choose_readers(g, now);
 	gateway_elect(g, now);
 	gateway_report_keys(g, now);
@@ -423,16 +417,9 @@
 static void on_heartbeat_timer(struct timer *timer, void *data)
 {
 	struct gateway *g = data;
-	clk_ms now = clk_now();
-	bool remote = is_shardmgr(g) && now - g->last_remote_heartbeat >= REMOTE_HEARTBEAT_MS;
 
-	timer_arm(timer, HEARTBEAT_MS);
-	if (remote)
-		g->last_remote_heartbeat = now;
-	gateway_send_heartbeat(g, remote);
-	if (!g->registered && !g->registering && !g->draining && watch_store_ok(g->watch) &&
-	    watch_version(g->watch, META_ROUTERS))
-		gateway_register(g);
+	timer_arm(timer, HEARTBEAT_CHECK_MS);
+	gateway_send_due_heartbeats(g, clk_now());
 }
 
 /* ---- lifetime ------------------------------------------------------------------------------- */
@@ -459,6 +446,7 @@
 		.controller = gateway_controller,
 		.owner = gateway_owner,
 		.on_answer_time = gateway_note_answer_time,
+		.on_no_answer = gateway_note_no_answer,
 		.on_key = gateway_note_key_request,
 	};
 	struct forward_env env;
@@ -472,11 +460,14 @@
 	g->forwards = forward_list_create(&env);
 	g->meta = g->platform->store->open(g->loop, g->settings.store.ip, g->settings.store.port);
 	g->watch = watch_create(g->loop, g->platform->store, g->meta, &watch_handlers, g);
+	/* Passive until gateway_choose_readers() knows whether this gateway is a hub. */
+	watch_set_passive(g->watch, true);
+	gateway_mesh_open(g);
 	timer_init(&g->tick, g->loop, on_tick, g);
 	timer_arm(&g->tick, TICK_MS);
 	timer_init(&g->map_timer, g->loop, gateway_on_map_timer, g);
 	timer_init(&g->heartbeat_timer, g->loop, on_heartbeat_timer, g);
-	timer_arm(&g->heartbeat_timer, HEARTBEAT_MS);
+	timer_arm(&g->heartbeat_timer, HEARTBEAT_CHECK_MS);
 }
 
 struct gateway *gateway_create(const struct platform *platform, const struct gateway_options *opts,
@@ -542,6 +533,7 @@
 	quarantine_destroy(g->crashes);
 	fleet_destroy(g->fleet);
 	gateway_docs_close(g);
+	gateway_mesh_close(g);
 	timer_release(&g->tick);
 	timer_release(&g->heartbeat_timer);
 	timer_release(&g->map_timer);
--- a/src/process/gateway_doc.c
+++ b/src/process/gateway_doc.c
@@ -1,4 +1,4 @@
-/* Applies rows of the store: configuration, evacuations, registered upstreams and gateways. */
+/* Applies rows of the store: configuration, evacuations and registered upstreams. */
 #include "process/gateway_priv.h"
 
 #include <stdio.h>
@@ -157,105 +157,6 @@
 	arena_free(&arena);
 }
 
-/* ---- gateways ------------------------------------------------------------------------------- */
-
-static void remove_member(struct gateway *g, struct gateway_member *m)
-{
-	peer_remove_address(g->peers, m->ip, m->port);
-	HASH_DEL(g->members, m);
-	free(m);
-}
-
-/* Parses "ip:port"; returns false if `text` has another form. */
-static bool parse_member_address(struct str text, char ip[16], uint32_t *port)
-{
-	struct str port_text;
-	struct str host = str_split(text, ':', &port_text);
-	uint64_t number;
-
-	if (!host.len || host.len > 15 || !str_to_u64(port_text, 65535, &number))
-		return false;
-	memset(ip, 0, 16);
-	memcpy(ip, host.ptr, host.len);
-	*port = (uint32_t)number;
-	return true;
-}
-
-static void update_member(struct gateway *g, const struct meta_row *row)
-{
-	char id[FLEET_NAME_BYTES];
-	struct gateway_member *m;
-	char ip[16];
-	uint32_t port;
-
-	snprintf(id, sizeof(id), "%.*s", STR_ARG(row->key));
-	HASH_FIND_STR(g->members, id, m);
-	if (row->deleted || !parse_member_address(row->value, ip, &port)) {
-		if (m)
-			remove_member(g, m);
-		return;
-	}
-	if (m && (m->port != port || strcmp(m->ip, ip) != 0)) {
-		remove_member(g, m);
-		m = NULL;
-	}
-	if (m)
-		return;
-	m = calloc(1, sizeof(*m));
-	if (!m)
-		abort();
-	memcpy(m->id, id, sizeof(id));
-	memcpy(m->ip, ip, sizeof(ip));
-	m->port = port;
-	HASH_ADD_STR(g->members, id, m);
-	log_info(&log, "gateway %s at %s:%u is registered", id, ip, port);
-	peer_add_address(g->peers, ip, port);
-}
-
-/* Whether the store has a row with the present address of this gateway. */
-static bool own_row_is_current(const struct gateway *g)
-{
-	struct gateway_member *m;
-
-	HASH_FIND_STR(g->members, g->id, m);
-	return m && m->port == g->settings.peers.port && strcmp(m->ip, g->settings.peers.ip) == 0;
-}
-
-static void on_router_rows(struct gateway *g, const struct meta_answer *a)
-{
-	for (size_t i = 0; i < a->n_rows; i++)
-		update_member(g, &a->rows[i]);
-	g->registered = own_row_is_current(g);
-	if (!g->registered && !g->draining)
-		gateway_register(g);
-}
-
-static void on_registered(void *data, const struct meta_answer *a)
-{
-	struct gateway *g = data;
-
-	g->registering = false;
-	watch_record_answer(g->watch, a->status);
-	if (a->status != META_OK)
-		log_warn(&log, "registration of this gateway is not confirmed: %s",
-			 meta_status_name(a->status));
-	else
-		g->registered = true;
-}
-
-void gateway_register(struct gateway *g)
-{
-	char address[32];
-	struct meta_change change = {.key = str_from(g->id), .write = true};
-
-	if (g->registering)
-		return;
-	g->registering = true;
-	snprintf(address, sizeof(address), "%s:%u", g->settings.peers.ip, g->settings.peers.port);
-	change.value = str_from(address);
-	g->platform->store->commit(g->meta, META_ROUTERS, &change, 1, on_registered, g);
-}
-
 /* ---- all tables ----------------------------------------------------------------------------- */
 
 /* Passes the configuration and the upstreams on to admission and shard management. */
@@ -289,7 +190,7 @@
 		on_upstream_rows(g, whole, recovered, a);
 		break;
 	case META_ROUTERS:
-		on_router_rows(g, a);
+		gateway_on_router_rows(g, a);
 		return;
 	case META_KEYS:
 	case META_TABLES:
@@ -300,14 +201,7 @@
 
 void gateway_docs_close(struct gateway *g)
 {
-	struct gateway_member *m;
-	struct gateway_member *tmp;
-
 	clear_evacuated(g);
 	gateway_tables_close(g);
-	HASH_ITER (hh, g->members, m, tmp) {
-		HASH_DEL(g->members, m);
-		free(m);
-	}
 	topo_retire(g->topo);
 }
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -15,6 +15,24 @@
 #include "base/mutant.h"
 #include "base/rnd.h"
 
+/*
+ * Intervals of heartbeats. A hub takes roles from another hub that fails, so hubs of a region watch
+ * each other closely; a shard manager needs to hear from all whether the store answers them, and
+ * all whether it lives. Between other gateways heartbeats only show a connection that went silent.
+ */
+#define HUB_HEARTBEAT_MS 200
+#define ROLE_HEARTBEAT_MS 400
+#define LEAF_HEARTBEAT_MS 2000
+/* Links between regions are billed by volume. */
+#define REMOTE_HEARTBEAT_MS 10000
+/* A connection is closed when nothing was received for this many intervals of its heartbeats. */
+#define TIMEOUT_INTERVALS 3
+/* A gateway that does not answer slot requests and was silent for this long gets none for a time.
+ */
+#define NO_ANSWER_SILENCE_MS 500
+#define NO_ANSWER_PAUSE_MS 1000
+/* A gateway that is no hub waits this much longer before it tries to become shard manager. */
+#define LEAF_CANDIDATE_DELAY_MS 3000
 /* A shard manager without a heartbeat for this long counts as failed. */
 #define SHARDMGR_LOST_MS 1000
 /* A shard manager cut off from the store for this long is replaced by a gateway that reaches it. */
@@ -39,9 +57,13 @@
 #define MIN_ROLE_CPU_SHARE 0.5
 /* A peer whose last heartbeat is older does not count in gateway_peers_agree(). */
 #define MAX_HEARTBEAT_AGE_MS 1200
+/* Rows that a peer has newer are requested if they have not arrived by themselves in this time. */
+#define BEHIND_PEER_MS 500
 
 static const struct log log = {"peers"};
 CTR(ctr_heartbeats_sent, "pulses_total", "Pulses sent to other gateways.");
+CTR(ctr_unscheduled, "pulses_unscheduled_total",
+    "Pulses sent before they were due: to a new peer, or after a change of this gateway.");
 
 struct gateway_peer *gateway_find_peer(struct gateway *g, uint64_t node)
 {
@@ -72,66 +94,149 @@
 	return str_eq_cstr(g->settings.region, p->region);
 }
 
-/* Which peers get a heartbeat. */
-struct audience {
-	bool all_regions; /* those of other regions, too */
-	uint64_t node;	  /* only this peer, 0: any */
-};
-
-static bool is_in_audience(const struct gateway *g, const struct gateway_peer *p,
-			   const struct audience *to)
+/* Returns the interval at which this gateway sends heartbeats to the peer. */
+static clk_ms heartbeat_interval(const struct gateway *g, const struct gateway_peer *p)
 {
-	if (to->node)
-		return p->node == to->node;
-	return to->all_regions || gateway_in_same_region(g, p);
+	bool same_region = gateway_in_same_region(g, p);
+
+	if (same_region && g->is_hub && p->hub)
+		return HUB_HEARTBEAT_MS;
+	if (gateway_is_shardmgr(g) || p->n_manages || (same_region && g->is_hub))
+		return ROLE_HEARTBEAT_MS;
+	return same_region ? LEAF_HEARTBEAT_MS : REMOTE_HEARTBEAT_MS;
 }
 
-static void send_heartbeat(struct gateway *g, const struct audience *to)
+static void list_managed(struct gateway *g, struct arena *a, Bc__Pulse *msg)
 {
-	Bc__Frame frame = BC__FRAME__INIT;
-	Bc__Pulse msg = BC__PULSE__INIT;
-	Bc__KeeperTerm terms[GATEWAY_MAX_MANAGED];
-	Bc__KeeperTerm *pointers[GATEWAY_MAX_MANAGED];
 	struct gateway_service *s;
-	struct gateway_peer *p;
-	struct gateway_peer *tmp;
 
-	for (s = g->services; s && msg.n_keeper < GATEWAY_MAX_MANAGED; s = s->hh.next) {
-		size_t i = msg.n_keeper;
+	msg->keeper = arena_alloc(a, GATEWAY_MAX_MANAGED * sizeof(*msg->keeper));
+	for (s = g->services; s && msg->n_keeper < GATEWAY_MAX_MANAGED; s = s->hh.next) {
+		Bc__KeeperTerm *term;
 
 		if (!s->shardmgr || !shardmgr_is_active(s->shardmgr))
 			continue;
-		terms[i] = (Bc__KeeperTerm)BC__KEEPER_TERM__INIT;
-		terms[i].service = s->name;
-		terms[i].term = shardmgr_term(s->shardmgr);
-		terms[i].version = shardmgr_map_version(s->shardmgr);
-		pointers[i] = &terms[i];
-		msg.n_keeper++;
+		term = arena_alloc(a, sizeof(*term));
+		*term = (Bc__KeeperTerm)BC__KEEPER_TERM__INIT;
+		term->service = s->name;
+		term->term = shardmgr_term(s->shardmgr);
+		term->version = shardmgr_map_version(s->shardmgr);
+		msg->keeper[msg->n_keeper++] = term;
 	}
-	msg.keeper = pointers;
-	msg.draining = g->draining;
-	msg.store_ok = watch_store_ok(g->watch);
-	msg.reads = !watch_is_passive(g->watch);
-	msg.store_ms = (uint32_t)watch_store_latency(g->watch);
-	msg.cpu_millis = g->settings.cpu_millis;
-	msg.store_age_ms = (uint32_t)(clk_now() - watch_last_answer(g->watch));
-	msg.config_row = watch_newest_row(g->watch, META_CONFIG);
-	msg.upstreams_row = watch_newest_row(g->watch, META_UPSTREAMS);
+}
+
+static void fill_heartbeat(struct gateway *g, struct arena *a, Bc__Pulse *msg)
+{
+	*msg = (Bc__Pulse)BC__PULSE__INIT;
+	list_managed(g, a, msg);
+	msg->draining = g->draining;
+	msg->store_ok = watch_store_ok(g->watch);
+	msg->reads = !watch_is_passive(g->watch);
+	msg->store_ms = (uint32_t)watch_store_latency(g->watch);
+	msg->cpu_millis = g->settings.cpu_millis;
+	msg->store_age_ms = (uint32_t)(clk_now() - watch_last_answer(g->watch));
+	msg->config_row = watch_newest_row(g->watch, META_CONFIG);
+	msg->upstreams_row = watch_newest_row(g->watch, META_UPSTREAMS);
+	msg->routers_row = watch_newest_row(g->watch, META_ROUTERS);
+}
+
+static void send_heartbeat(struct gateway *g, struct gateway_peer *p, Bc__Pulse *msg)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+
+	msg->interval_ms = (uint32_t)heartbeat_interval(g, p);
 	frame.body_case = BC__FRAME__BODY_PULSE;
-	frame.pulse = &msg;
+	frame.pulse = msg;
+	p->heartbeat_sent = clk_now();
+	ctr_inc(&ctr_heartbeats_sent);
+	peer_send(g->peers, p->node, &frame);
+}
+
+/* Which peers get a heartbeat. */
+enum audience { AUDIENCE_DUE, AUDIENCE_REGION, AUDIENCE_ALL };
+
+static bool is_in_audience(const struct gateway *g, const struct gateway_peer *p,
+			   enum audience audience, clk_ms now)
+{
+	switch (audience) {
+	case AUDIENCE_DUE:
+		return now - p->heartbeat_sent >= heartbeat_interval(g, p);
+	case AUDIENCE_REGION:
+		return gateway_in_same_region(g, p);
+	case AUDIENCE_ALL:
+		break;
+	}
+	return true;
+}
+
+static void send_heartbeats(struct gateway *g, enum audience audience, clk_ms now)
+{
+	struct arena arena = ARENA_INIT;
+	struct gateway_peer *p;
+	struct gateway_peer *tmp;
+	Bc__Pulse msg;
+
+	fill_heartbeat(g, &arena, &msg);
 	HASH_ITER (hh, g->peer_states, p, tmp) {
-		if (!is_in_audience(g, p, to))
+		if (!is_in_audience(g, p, audience, now))
 			continue;
-		ctr_inc(&ctr_heartbeats_sent);
-		peer_send(g->peers, p->node, &frame);
+		if (audience != AUDIENCE_DUE)
+			ctr_inc(&ctr_unscheduled);
+		send_heartbeat(g, p, &msg);
 	}
+	arena_free(&arena);
 }
 
 void gateway_send_heartbeat(struct gateway *g, bool all_regions)
 {
-	struct audience to = {.all_regions = all_regions};
+	send_heartbeats(g, all_regions ? AUDIENCE_ALL : AUDIENCE_REGION, clk_now());
+}
+
+void gateway_send_due_heartbeats(struct gateway *g, clk_ms now)
+{
+	send_heartbeats(g, AUDIENCE_DUE, now);
+}
+
+static void send_first_heartbeat(struct gateway *g, struct gateway_peer *p)
+{
+	struct arena arena = ARENA_INIT;
+	Bc__Pulse msg;
 
-	send_heartbeat(g, &to);
+	if (MUTANT(gateway_greet_all)) {
+		gateway_send_heartbeat(g, true);
+		return;
+	}
+	fill_heartbeat(g, &arena, &msg);
+	ctr_inc(&ctr_unscheduled);
+	send_heartbeat(g, p, &msg);
+	arena_free(&arena);
+}
+
+/* Whether the peer has newer rows of a table than this gateway. */
+static bool has_newer_rows(const struct gateway *g, const Bc__Pulse *msg)
+{
+	return msg->config_row > watch_newest_row(g->watch, META_CONFIG) ||
+	       msg->upstreams_row > watch_newest_row(g->watch, META_UPSTREAMS) ||
+	       msg->routers_row > watch_newest_row(g->watch, META_ROUTERS);
+}
+
+/*
+ * Requests rows that a peer has newer, while the store does not answer this gateway. A reader sends
+ * them by itself soon after it has them, so there is a wait, unless no row is known yet.
+ */
+static void catch_up(struct gateway *g, const struct gateway_peer *p, const Bc__Pulse *msg)
+{
+	clk_ms now = clk_now();
+
+	if (watch_store_ok(g->watch) || !has_newer_rows(g, msg)) {
+		g->behind_since = 0;
+		return;
+	}
+	if (!g->behind_since)
+		g->behind_since = now;
+	if (g->topo && g->have_upstreams && now - g->behind_since < BEHIND_PEER_MS)
+		return;
+	gateway_request_copies(g, p->node, now);
 }
 
 /*
@@ -145,6 +250,8 @@
 	p->store_ms = msg->store_ms;
 	p->cpu_millis = msg->cpu_millis;
 	p->heartbeat_received = clk_now();
+	if (msg->interval_ms)
+		peer_set_timeout(g->peers, p->node, TIMEOUT_INTERVALS * (clk_ms)msg->interval_ms);
 	p->store_answered_at = p->heartbeat_received - (clk_ms)msg->store_age_ms;
 	if (p->reads != msg->reads)
 		p->reader_changed_at = p->heartbeat_received;
@@ -163,10 +270,46 @@
 	}
 	watch_report_peer_row(g->watch, META_CONFIG, msg->config_row);
 	watch_report_peer_row(g->watch, META_UPSTREAMS, msg->upstreams_row);
-	if (!watch_store_ok(g->watch) &&
-	    (msg->config_row > watch_newest_row(g->watch, META_CONFIG) ||
-	     msg->upstreams_row > watch_newest_row(g->watch, META_UPSTREAMS)))
-		gateway_request_copies(g, p->node, clk_now());
+	catch_up(g, p, msg);
+}
+
+/*
+ * Returns the hub that passes a message on to a gateway that has no link to its sender: one of the
+ * gateway's own region, the same at all hubs as long as they see the same hubs.
+ */
+static uint64_t relay_of(const struct gateway *g, const struct gateway_peer *leaf)
+{
+	uint64_t best = g->node;
+	const struct gateway_peer *p;
+
+	for (p = g->peer_states; p; p = p->hh.next) {
+		if (p->hub && gateway_in_same_region(g, p) &&
+		    rnd_mix(leaf->id, p->node) > rnd_mix(leaf->id, best))
+			best = p->node;
+	}
+	return best;
+}
+
+/* Counts a crash; passes it on to gateways that are not connected to the sender. */
+static void on_crash_frame(struct gateway *g, uint64_t from, const Bc__Crash *msg)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__Crash copy = BC__CRASH__INIT;
+	struct gateway_peer *p;
+	struct gateway_peer *tmp;
+
+	quarantine_crash(g->crashes, clk_now(), msg->fingerprint, msg->upstream);
+	if (!msg->relay || !g->is_hub)
+		return;
+	copy.fingerprint = msg->fingerprint;
+	copy.upstream = msg->upstream;
+	frame.body_case = BC__FRAME__BODY_CRASH;
+	frame.crash = &copy;
+	HASH_ITER (hh, g->peer_states, p, tmp) {
+		if (!p->hub && p->node != from && gateway_in_same_region(g, p) &&
+		    relay_of(g, p) == g->node)
+			gateway_send(g, p->node, &frame);
+	}
 }
 
 static void on_frame(void *data, const struct peer_info *from, const Bc__Frame *frame)
@@ -186,8 +329,7 @@
 		gateway_apply_copy(g, from->node, frame->table_copy);
 		break;
 	case BC__FRAME__BODY_CRASH:
-		quarantine_crash(g->crashes, clk_now(), frame->crash->fingerprint,
-				 frame->crash->upstream);
+		on_crash_frame(g, from->node, frame->crash);
 		break;
 	default:
 		if (!gateway_on_key_frame(g, from->node, frame))
@@ -200,16 +342,21 @@
 {
 	struct gateway *g = data;
 	struct gateway_peer *p = gateway_find_peer(g, peer->node);
+	struct gateway_member *m;
 
 	if (!p) {
 		p = calloc(1, sizeof(*p));
 		if (!p)
 			abort();
 		p->node = peer->node;
+		p->id = str_hash(str_from(peer->id));
 		snprintf(p->region, sizeof(p->region), "%s", peer->region);
 		HASH_ADD(hh, g->peer_states, node, sizeof(p->node), p);
 	}
-	send_heartbeat(g, &(struct audience){.node = peer->node});
+	g->mesh_changed = true;
+	HASH_FIND_STR(g->members, peer->id, m);
+	p->hub = m && m->hub;
+	send_first_heartbeat(g, p);
 	gateway_send_maps(g, peer->node);
 	/* Table changes may have been lost with the last connection to this peer. */
 	if (watch_is_passive(g->watch))
@@ -225,6 +372,7 @@
 		HASH_DEL(g->peer_states, p);
 		free(p);
 	}
+	g->mesh_changed = true;
 	slots_on_node_down(g->slots, peer->node);
 }
 
@@ -263,20 +411,21 @@
 
 uint32_t gateway_min_role_cpu(const struct gateway *g, const char *region)
 {
-	bool includes_self = str_eq_cstr(g->settings.region, region) && !g->draining;
+	bool includes_self = g->is_hub && str_eq_cstr(g->settings.region, region) && !g->draining;
 	uint32_t max_cpu = includes_self ? g->settings.cpu_millis : 0;
 	const struct gateway_peer *p;
 
 	for (p = g->peer_states; p; p = p->hh.next) {
-		if (!p->draining && p->cpu_millis > max_cpu && strcmp(p->region, region) == 0)
+		if (p->hub && !p->draining && p->cpu_millis > max_cpu &&
+		    strcmp(p->region, region) == 0)
 			max_cpu = p->cpu_millis;
 	}
 	return (uint32_t)(max_cpu * MIN_ROLE_CPU_SHARE);
 }
 
 /*
- * Returns the gateway of the region with the highest rendezvous weight for `id`, among those with
- * enough CPU time that are not draining; 0 if there is none.
+ * Returns the hub of the region with the highest rendezvous weight for `id`, among those with
+ * enough CPU time that are not draining and not silent; 0 if there is none.
  */
 static uint64_t highest_weight(const struct gateway *g, const char *region, uint64_t id)
 {
@@ -284,8 +433,9 @@
 	uint64_t best = 0;
 	uint64_t best_weight = 0;
 	const struct gateway_peer *p;
+	clk_ms now = clk_now();
 
-	if (str_eq_cstr(g->settings.region, region) && !g->draining &&
+	if (g->is_hub && str_eq_cstr(g->settings.region, region) && !g->draining &&
 	    g->settings.cpu_millis >= min_cpu) {
 		best = g->node;
 		best_weight = rnd_mix(id, g->node);
@@ -293,8 +443,8 @@
 	for (p = g->peer_states; p; p = p->hh.next) {
 		uint64_t weight = rnd_mix(id, p->node);
 
-		if (p->draining || p->cpu_millis < min_cpu || strcmp(p->region, region) != 0 ||
-		    (best && weight <= best_weight))
+		if (!p->hub || p->draining || p->cpu_millis < min_cpu || now < p->silent_until ||
+		    strcmp(p->region, region) != 0 || (best && weight <= best_weight))
 			continue;
 		best = p->node;
 		best_weight = weight;
@@ -302,6 +452,15 @@
 	return best;
 }
 
+void gateway_note_no_answer(void *gateway, uint64_t node)
+{
+	struct gateway *g = gateway;
+	struct gateway_peer *p = gateway_find_peer(g, node);
+
+	if (p && peer_silence(g->peers, node) > NO_ANSWER_SILENCE_MS)
+		p->silent_until = clk_now() + NO_ANSWER_PAUSE_MS;
+}
+
 /*
  * Each upstream of a keyed service has its own admission controller, in the upstream's region.
  * Returns that of the key's owner, 0 if the owner or its region is not known.
@@ -391,6 +550,8 @@
 	wait = candidate_rank(g, s->id, shardmgr ? shardmgr->node : 0) * CANDIDATE_STEP_MS;
 	if (shardmgr && !shardmgr->draining)
 		wait += SHARDMGR_CUT_OFF_MS;
+	if (!g->is_hub)
+		wait += LEAF_CANDIDATE_DELAY_MS;
 	if (now - s->no_shardmgr_since < wait || !watch_store_ok(g->watch) || g->draining ||
 	    shardmgr_is_acquiring(s->shardmgr))
 		return;
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -1,9 +1,9 @@
 /*
  * Internals of the gateway, shared by gateway.c (startup, timers, shutdown), gateway_peer.c
- * (heartbeats, roles and elections), gateway_key.c (ownership maps and reports of key usage that
- * gateways exchange), gateway_doc.c (rows of the store: configuration, upstreams, gateways),
- * gateway_table.c (which gateways read the store and how they pass rows on) and gateway_link.c
- * (load of the links to other regions).
+ * (heartbeats, roles and elections), gateway_mesh.c (which gateways exist and which are connected),
+ * gateway_key.c (ownership maps and reports of key usage that gateways exchange), gateway_doc.c
+ * (rows of the store: configuration, upstreams), gateway_table.c (which gateways read the store and
+ * how they pass rows on) and gateway_link.c (load of the links to other regions).
  *
  * A store reader, or reader, is a gateway that follows the store's tables itself. The other
  * gateways of its region are passive: they get the changes from readers.
@@ -20,6 +20,7 @@
 #include "connection/timer.h"
 #include "process/fleet.h"
 #include "process/gateway.h"
+#include "process/hubs.h"
 #include "process/shardmgr.h"
 #include "process/link.h"
 #include "process/quarantine.h"
@@ -48,7 +49,11 @@
 /* A connected gateway and its state according to its last heartbeat. */
 struct gateway_peer {
 	uint64_t node;
+	uint64_t id; /* hash of its name, the same over restarts */
 	char region[FLEET_NAME_BYTES];
+	bool hub;	       /* see hubs.h */
+	clk_ms heartbeat_sent; /* when the last heartbeat was sent to it */
+	clk_ms silent_until;   /* no slot requests until then: it did not answer, 0: none */
 	bool draining;
 	bool store_ok;		   /* the peer's calls to the store succeed; false if passive */
 	clk_ms store_ms;	   /* fastest answer that the peer had from the store */
@@ -106,8 +111,15 @@
 /* A gateway that is registered in the store, this one included. */
 struct gateway_member {
 	char id[FLEET_NAME_BYTES];
+	uint64_t id_hash;
 	char ip[16];
 	uint32_t port;
+	char region[FLEET_NAME_BYTES];
+	uint32_t cpu_millis;  /* CPU time that it may use, 1/1000 core */
+	bool hub;	      /* see hubs.h */
+	bool chosen;	      /* `hub` is set in the choice that is under way */
+	bool target;	      /* connections to it are opened from here */
+	clk_ms missing_since; /* since when it has no connection here, 0: it has one */
 	UT_hash_handle hh;
 };
 
@@ -138,26 +150,33 @@
 	struct gateway_service *services;
 	struct gateway_evacuation *evacuated;
 	struct gateway_member *members;
-	struct gateway_row *rows[META_TABLES]; /* only of META_CONFIG and META_UPSTREAMS */
+	bool members_known;  /* the table of gateways was read */
+	bool mesh_changed;   /* members or connections have changed since the last choice of hubs */
+	clk_ms mesh_updated; /* last choice of hubs */
+	bool is_hub;	     /* this gateway is a hub, see hubs.h */
+	struct gateway_row *rows[META_TABLES]; /* only of the tables that gateways share */
 	size_t n_deleted[META_TABLES];	       /* deleted rows in `rows` */
 	uint64_t rows_version[META_TABLES];    /* store version up to which `rows` is complete */
 	/* Store version after which `rows` has every change, deleted rows included. */
 	uint64_t rows_history_start[META_TABLES];
 	clk_ms copies_requested_at; /* last request to a peer for copies of tables */
+	clk_ms behind_since;	    /* since when a peer has newer rows, 0: none has */
+	clk_ms readers_seen;	    /* when a reader with a recent answer was known last */
 	struct gateway_peer *peer_states;
 
 	struct timer tick;
 	struct timer heartbeat_timer;
 	struct timer map_timer; /* sends changed owners of keys to the peers */
 	clk_ms started;
-	clk_ms last_remote_heartbeat; /* last one sent to other regions by the timer */
-	clk_ms reader_changed_at;     /* when this gateway last became or ceased to be a reader */
+	clk_ms reader_changed_at; /* when this gateway last became or ceased to be a reader */
 	struct gateway_link links[GATEWAY_MAX_LINKS];
 	size_t n_links;
 	clk_ms settings_checked_at; /* last comparison of the settings file's modification time */
 	int64_t settings_mtime;	    /* modification time of the settings in force, UTC ns */
 	bool registered;	    /* the store has a row with the address of this gateway */
-	bool registering;	    /* a commit of that row is pending */
+	bool joining;		    /* a call of the registration is pending */
+	clk_ms join_next;	    /* no such call before this time */
+	clk_ms join_pause;	    /* pause after the next failure of such a call */
 	bool draining;		    /* a planned stop is under way */
 	clk_ms drain_since;	    /* start of the planned stop */
 	bool stopped;		    /* the event loop ends */
@@ -169,6 +188,9 @@
 /* Called for each service of a new configuration; creates the shard manager of a keyed one. */
 void gateway_configure_service(struct gateway *g, const struct topo_service *service);
 
+/* Whether this gateway is shard manager of any service. */
+bool gateway_is_shardmgr(const struct gateway *g);
+
 /* gateway_peer.c */
 /* Starts to listen for other gateways; sets `err` and returns false if that fails. */
 bool gateway_peers_open(struct gateway *g, struct err *err);
@@ -191,8 +213,12 @@
  */
 bool gateway_may_cross_link(void *gateway, const struct topo_service *service, uint32_t key,
 			    struct str region, size_t bytes);
-/* Sends a heartbeat to all peers of the same region, with `all_regions` to every peer. */
+/* Sends a heartbeat at once to all peers of the same region, with `all_regions` to every peer. */
 void gateway_send_heartbeat(struct gateway *g, bool all_regions);
+/* Sends heartbeats to the peers for which one is due. */
+void gateway_send_due_heartbeats(struct gateway *g, clk_ms now);
+/* Notes that a gateway did not answer a slot request in time. */
+void gateway_note_no_answer(void *gateway, uint64_t node);
 bool gateway_in_same_region(const struct gateway *g, const struct gateway_peer *p);
 void gateway_broadcast(struct gateway *g, Bc__Frame *frame);
 /* Sends a frame to a gateway; returns false if there is no connection to the node. */
@@ -244,12 +270,18 @@
 /* Handles frames about keys; returns false for any other frame. */
 bool gateway_on_key_frame(struct gateway *g, uint64_t from, const Bc__Frame *frame);
 
+/* gateway_mesh.c */
+void gateway_mesh_open(struct gateway *g);
+void gateway_mesh_close(struct gateway *g);
+/* Registers this gateway, chooses the hubs and the connections to open. Called by the timer. */
+void gateway_update_mesh(struct gateway *g, clk_ms now);
+/* Applies rows of the table of gateways. */
+void gateway_on_router_rows(struct gateway *g, const struct meta_answer *answer);
+
 /* gateway_doc.c */
 /* Applies rows of a table, see watch_handlers.on_rows. */
 void gateway_on_rows(void *gateway, enum meta_table table, bool whole, bool recovered,
 		     const struct meta_answer *answer);
-/* Writes the row with the address of this gateway, unless a write is pending. */
-void gateway_register(struct gateway *g);
 void gateway_docs_close(struct gateway *g);
 
 /* gateway_table.c */
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -29,9 +29,12 @@
 /* The store answers a reader at least this often while passive peers depend on that reader. */
 #define STORE_CONFIRM_MS 1000
 /* A peer whose last heartbeat is older does not count as a reader with a recent store answer. */
-#define MAX_HEARTBEAT_AGE_MS 600
+#define MAX_HEARTBEAT_AGE_MS 1000
 /* No choice of readers before this time after the start, since the peers have to connect first. */
 #define FIRST_CHOICE_MS 1500
+/* A gateway that is no hub follows the store itself after this time without a reader, or later. */
+#define LEAF_READ_AFTER_MS 3000
+#define LEAF_READ_JITTER_MS 2000
 /* Least time between two requests to peers for copies of the tables. */
 #define COPY_REQUEST_PAUSE_MS 400
 /* Deleted rows kept for each table, for peers that still have the rows. */
@@ -46,7 +49,7 @@
 /* Whether gateways send rows of the table to each other. */
 static bool is_shared_table(enum meta_table table)
 {
-	return table == META_CONFIG || table == META_UPSTREAMS;
+	return table == META_CONFIG || table == META_UPSTREAMS || table == META_ROUTERS;
 }
 
 /* ---- choice of readers ---------------------------------------------------------------------- */
@@ -66,7 +69,7 @@
 		abort();
 	snprintf(region, sizeof(region), "%.*s", STR_ARG(g->settings.region));
 	min_cpu = gateway_min_role_cpu(g, region);
-	if (!g->draining && g->settings.cpu_millis >= min_cpu)
+	if (g->is_hub && !g->draining && g->settings.cpu_millis >= min_cpu)
 		infos[n++] = (struct reader_info){
 			.node = g->node,
 			.reads = !watch_is_passive(g->watch),
@@ -74,7 +77,8 @@
 			.reading_ms = now - g->reader_changed_at,
 		};
 	for (p = g->peer_states; p; p = p->hh.next) {
-		if (p->draining || p->cpu_millis < min_cpu || !gateway_in_same_region(g, p))
+		if (!p->hub || p->draining || p->cpu_millis < min_cpu ||
+		    !gateway_in_same_region(g, p))
 			continue;
 		infos[n++] = (struct reader_info){
 			.node = p->node,
@@ -91,10 +95,7 @@
 	return r;
 }
 
-/*
- * Whether all tables were read and this gateway is registered: a passive gateway does not register
- * and gets no rows of META_ROUTERS.
- */
+/* Whether all tables were read and this gateway is registered. */
 static bool can_become_passive(const struct gateway *g)
 {
 	return watch_version(g->watch, META_CONFIG) && watch_version(g->watch, META_UPSTREAMS) &&
@@ -125,6 +126,34 @@
 	return false;
 }
 
+/* Begins or ceases to follow the store; `good`: number of readers with a recent answer. */
+static void set_passive(struct gateway *g, bool passive, size_t good, clk_ms now)
+{
+	if (passive == watch_is_passive(g->watch))
+		return;
+	ctr_inc(&ctr_role_changes);
+	g->reader_changed_at = now;
+	log_info(&log, "%s, %zu readers have a recent answer of the store",
+		 passive ? "receiving tables from readers" : "following the store", good);
+	watch_set_passive(g->watch, passive);
+	gateway_send_heartbeat(g, false);
+}
+
+/*
+ * A gateway that is no hub follows the store only if it has known no reader for some time, or while
+ * it is shard manager. The time varies, so that not all begin at once.
+ */
+static void choose_as_leaf(struct gateway *g, clk_ms now, bool manages, size_t good)
+{
+	clk_ms since = g->readers_seen ? g->readers_seen : g->started;
+	clk_ms wait = LEAF_READ_AFTER_MS + (clk_ms)(g->node % LEAF_READ_JITTER_MS);
+
+	if (manages || now - since > wait)
+		set_passive(g, false, good, now);
+	else if (good)
+		set_passive(g, true, good, now);
+}
+
 void gateway_choose_readers(struct gateway *g, clk_ms now)
 {
 	struct readers r = list_readers(g, now);
@@ -134,21 +163,23 @@
 	bool passive = watch_is_passive(g->watch);
 
 	free(r.nodes);
-	if (now - g->started < FIRST_CHOICE_MS)
+	if (good)
+		g->readers_seen = now;
+	if (!g->is_hub) {
+		choose_as_leaf(g, now, manages, good);
 		return;
+	}
+	/* At the start the tables are needed at once; other hubs are not connected yet. */
+	if (now - g->started < FIRST_CHOICE_MS) {
+		set_passive(g, false, good, now);
+		return;
+	}
 	watch_set_config_wait(g->watch, should_read && has_passive_peers(g) ? STORE_CONFIRM_MS : 0);
 	if (should_read || manages)
 		passive = false;
 	else if (good >= MIN_GOOD_READERS && can_become_passive(g))
 		passive = true;
-	if (passive == watch_is_passive(g->watch))
-		return;
-	ctr_inc(&ctr_role_changes);
-	g->reader_changed_at = now;
-	log_info(&log, "%s, %zu readers have a recent answer of the store",
-		 passive ? "receiving tables from readers" : "following the store", good);
-	watch_set_passive(g->watch, passive);
-	gateway_send_heartbeat(g, false);
+	set_passive(g, passive, good, now);
 }
 
 /* ---- rows ----------------------------------------------------------------------------------- */
@@ -352,7 +383,7 @@
 
 void gateway_request_copies(struct gateway *g, uint64_t from, clk_ms now)
 {
-	static const enum meta_table tables[] = {META_CONFIG, META_UPSTREAMS};
+	static const enum meta_table tables[] = {META_CONFIG, META_UPSTREAMS, META_ROUTERS};
 
 	if (now - g->copies_requested_at < COPY_REQUEST_PAUSE_MS)
 		return;
--- a/src/process/gwset.h
+++ b/src/process/gwset.h
@@ -32,6 +32,7 @@
 	struct gwset_address store;
 	const struct gwset_domain *domains; /* every failure domain of the deployment */
 	size_t n_domains;
+	bool first_start;    /* the deployment starts for the first time, with all processes */
 	size_t memory_bytes; /* memory limit of this process */
 	uint32_t cpu_millis; /* CPU time that this process may use, 1/1000 core */
 	clk_ms heartbeat;    /* how often upstreams renew their registration; not applied */
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -292,6 +292,7 @@
 
 	ctr_inc(&ctr_fallback);
 	s->env.on_answer_time(s->env.data, a->controller, clk_now() - a->sent);
+	s->env.on_no_answer(s->env.data, a->controller);
 	log_info(&log, "lender of %s did not answer for %lld ms; deciding here", a->pool->service,
 		 (long long)(clk_now() - a->sent));
 	send_cancel(s, a);
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -44,6 +44,8 @@
 	 * the time waited without a reply.
 	 */
 	void (*on_answer_time)(void *data, uint64_t node, clk_ms ms);
+	/* The controller `node` neither confirmed nor decided a slot request in time. */
+	void (*on_no_answer)(void *data, uint64_t node);
 	/* Called for each slot request that this gateway decides, if the service is keyed. */
 	void (*on_key)(void *data, const char *service, uint32_t key);
 };
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6274,7 +6274,7 @@
   (ProtobufCMessageInit) bc__keeper_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[11] =
 {
   {
     "draining",
@@ -6384,13 +6384,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routers_row",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, routers_row),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__pulse__field_indices_by_name[] = {
   3,   /* field[3] = config_row */
   6,   /* field[6] = cpu_millis */
   0,   /* field[0] = draining */
+  9,   /* field[9] = interval_ms */
   2,   /* field[2] = keeper */
   8,   /* field[8] = reads */
+  10,   /* field[10] = routers_row */
   7,   /* field[7] = store_age_ms */
   5,   /* field[5] = store_ms */
   1,   /* field[1] = store_ok */
@@ -6399,7 +6425,7 @@
 static const ProtobufCIntRange bc__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bc__pulse__descriptor =
 {
@@ -6409,7 +6435,7 @@
   "Bc__Pulse",
   "bc",
   sizeof(Bc__Pulse),
-  9,
+  11,
   bc__pulse__field_descriptors,
   bc__pulse__field_indices_by_name,
   1,  bc__pulse__number_ranges,
@@ -6647,7 +6673,7 @@
   (ProtobufCMessageInit) bc__table_copy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bc__crash__field_descriptors[3] =
 {
   {
     "fingerprint",
@@ -6673,15 +6699,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Crash, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__crash__field_indices_by_name[] = {
   0,   /* field[0] = fingerprint */
+  2,   /* field[2] = relay */
   1,   /* field[1] = upstream */
 };
 static const ProtobufCIntRange bc__crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bc__crash__descriptor =
 {
@@ -6691,7 +6730,7 @@
   "Bc__Crash",
   "bc",
   sizeof(Bc__Crash),
-  2,
+  3,
   bc__crash__field_descriptors,
   bc__crash__field_indices_by_name,
   1,  bc__crash__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -948,10 +948,18 @@
    * follows the store itself
    */
   protobuf_c_boolean reads;
+  /*
+   * the sender sends its next pulse within this time
+   */
+  uint32_t interval_ms;
+  /*
+   * newest row of the table of gateways, as config_row
+   */
+  uint64_t routers_row;
 };
 #define BC__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__pulse__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1014,10 +1022,14 @@
   ProtobufCMessage base;
   uint64_t fingerprint;
   uint64_t upstream;
+  /*
+   * the receiver passes it on to the gateways that have no link to the sender
+   */
+  protobuf_c_boolean relay;
 };
 #define BC__CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__crash__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 typedef enum {
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -6,6 +6,7 @@
 #include "test/unit_loop.h"
 
 struct gateway {
+	uint64_t no_answer; /* gateway last reported as not answering, 0: none */
 	struct fixture *fixture;
 	uint64_t node;
 	struct slots *slots;
@@ -78,6 +79,13 @@
 {
 }
 
+static void on_no_answer(void *data, uint64_t node)
+{
+	struct gateway *g = data;
+
+	g->no_answer = node;
+}
+
 static void on_key(void *data, const char *service, uint32_t key)
 {
 }
@@ -122,6 +130,7 @@
 			.controller = controller,
 			.owner = owner,
 			.on_answer_time = on_answer_time,
+			.on_no_answer = on_no_answer,
 			.on_key = on_key,
 		};
 
@@ -226,6 +235,7 @@
 	ck_assert(unit_run_until(w.loop, is_decided, &b));
 	ck_assert(b.granted);
 	ck_assert_uint_eq(b.permit.controller, 2);
+	ck_assert_uint_eq(w.gateways[1].no_answer, w.controller);
 	done(&w, 1, &b);
 	slots_request_release(w.gateways[1].slots, &b.slot_request);
 	teardown(&w);
