ingress: a planned stop answers requests that have arrived but were not read

Cause: at the end of the time in which new connections are accepted, the listening socket was closed with connections in its queue, and kept connections were closed although a request waited in the socket. Both were reset, the callers got no answer ("requests that had just been accepted were cut off"). Change: what waits in the queue is accepted before the socket is closed; a connection with unread input counts as in use. Test: unit_ingress shutdown_answers_requests_that_have_arrived, failed before (0 open requests), passes now; mutant ingress_cut_arrived.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -660,38 +661,45 @@
 
 /* ---- listener ------------------------------------------------------------------------------- */
 
-static void on_accept(h2o_socket_t *listener, const char *err)
+static void open_conn(struct ingress *in, h2o_socket_t *sock)
 {
-	struct ingress *in = listener->data;
+	struct ingress_conn *c = calloc(1, sizeof(*c));
+	int on = 1;
 
-	if (err)
-		return;
-	for (int i = 0; i < MAX_ACCEPTS_PER_CALLBACK; i++) {
-		h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
-		struct ingress_conn *c;
-		int on = 1;
+	if (!c)
+		abort();
+	setsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c->in = in;
+	c->sock = sock;
+	sock->data = c;
+	timer_init(&c->timer, in->loop, on_timer, c);
+	c->next = in->conns;
+	if (c->next)
+		c->next->prev = c;
+	in->conns = c;
+	in->n_conns++;
+	ctr_inc(&ctr_accepted);
+	conn_set_idle(c);
+	h2o_socket_read_start(sock, on_read);
+}
 
-		if (!sock)
-			return;
-		c = calloc(1, sizeof(*c));
-		if (!c)
-			abort();
-		setsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		c->in = in;
-		c->sock = sock;
-		sock->data = c;
-		timer_init(&c->timer, in->loop, on_timer, c);
-		c->next = in->conns;
-		if (c->next)
-			c->next->prev = c;
-		in->conns = c;
-		in->n_conns++;
-		ctr_inc(&ctr_accepted);
-		conn_set_idle(c);
-		h2o_socket_read_start(sock, on_read);
+/* Accepts up to `max` connections of the listening queue. */
+static void accept_pending(struct ingress *in, size_t max)
+{
+	h2o_socket_t *sock;
+
+	while (max && (sock = h2o_evloop_socket_accept(in->listener)) != NULL) {
+		open_conn(in, sock);
+		max--;
 	}
 }
 
+static void on_accept(h2o_socket_t *listener, const char *err)
+{
+	if (!err)
+		accept_pending(listener->data, MAX_ACCEPTS_PER_CALLBACK);
+}
+
 static int open_listening_socket(const char *ip, uint32_t port, struct err *err)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
@@ -751,10 +759,28 @@
 	if (!in->listener)
 		return;
 	h2o_socket_read_stop(in->listener);
+	/* Closing the socket resets the connections that it has not handed out. */
+	if (!MUTANT(ingress_cut_arrived))
+		accept_pending(in, LISTEN_BACKLOG);
 	h2o_socket_close(in->listener);
 	in->listener = NULL;
 }
 
+/* Whether bytes of the caller wait to be read. */
+static bool has_arrived_input(const struct ingress_conn *c)
+{
+	int n = 0;
+
+	return !MUTANT(ingress_cut_arrived) &&
+	       ioctl(h2o_socket_get_fd(c->sock), FIONREAD, &n) == 0 && n > 0;
+}
+
+/* Whether the connection is between the first byte of a request and the last of its response. */
+static bool is_in_use(const struct ingress_conn *c)
+{
+	return c->state == CONN_IDLE ? has_arrived_input(c) : c->state != CONN_LINGER;
+}
+
 void ingress_shutdown(struct ingress *in)
 {
 	struct ingress_conn *next;
@@ -762,7 +788,7 @@
 	ingress_stop_accepting(in);
 	for (struct ingress_conn *c = in->conns; c; c = next) {
 		next = c->next;
-		if (c->state == CONN_IDLE)
+		if (c->state == CONN_IDLE && !is_in_use(c))
 			conn_close(c);
 	}
 }
@@ -772,7 +798,7 @@
 	size_t n = 0;
 
 	for (const struct ingress_conn *c = in->conns; c; c = c->next)
-		n += c->state != CONN_IDLE && c->state != CONN_LINGER;
+		n += is_in_use(c);
 	return n;
 }
 
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -70,11 +70,14 @@
 			       struct err *err);
 /* From now on responses carry "connection: close"; new connections are still accepted. */
 void ingress_drain(struct ingress *in);
-/* Closes the listening socket; open connections stay. */
+/* Accepts what waits in the listening queue and closes the socket; open connections stay. */
 void ingress_stop_accepting(struct ingress *in);
-/* Stops accepting and closes connections that carry no request. */
+/* Stops accepting and closes connections that carry no request and have received none. */
 void ingress_shutdown(struct ingress *in);
-/* Returns the number of connections between a request's first byte and its response's last. */
+/*
+ * Returns the number of connections between a request's first byte, read or not, and its response's
+ * last.
+ */
 size_t ingress_open_requests(const struct ingress *in);
 /* Returns the number of open connections. */
 size_t ingress_connections(const struct ingress *in);
--- a/test/unit_ingress.c
+++ b/test/unit_ingress.c
@@ -326,6 +326,47 @@
 }
 END_TEST
 
+static bool two_requests(void *data)
+{
+	return ((struct fixture *)data)->requests == 2;
+}
+
+/*
+ * A planned stop meets a request that has arrived on a kept connection, and a connection with a
+ * request that was not accepted yet. Guards against closing both without an answer.
+ */
+START_TEST(shutdown_answers_requests_that_have_arrived)
+{
+	static const char request[] = "GET /late HTTP/1.1\r\nhost: h\r\n\r\n";
+	struct fixture f;
+	char answer[512];
+	ssize_t n;
+	int queued;
+
+	setup(&f);
+	send_bytes(&f, "GET /first HTTP/1.1\r\nhost: h\r\n\r\n");
+	ck_assert(unit_run_until(f.loop, has_answer, &f));
+	f.requests = 0;
+	clear_answer(&f);
+	send_bytes(&f, request);
+	queued = dial(&f);
+	ck_assert_int_eq(send(queued, request, strlen(request), MSG_NOSIGNAL),
+			 (ssize_t)strlen(request));
+	ingress_drain(f.ingress);
+	ingress_shutdown(f.ingress);
+	ck_assert_uint_gt(ingress_open_requests(f.ingress), 0);
+	ck_assert(unit_run_until(f.loop, two_requests, &f));
+	ck_assert(unit_run_until(f.loop, has_answer, &f));
+	unit_run_for(f.loop, 20);
+	n = recv(queued, answer, sizeof(answer) - 1, MSG_DONTWAIT);
+	ck_assert_int_gt(n, 0);
+	answer[n] = '\0';
+	ck_assert(strstr(answer, "hello"));
+	close(queued);
+	teardown(&f);
+}
+END_TEST
+
 /* Guards against passing hop-by-hop headers of an upstream's response on to the caller. */
 START_TEST(hop_by_hop_headers_are_not_sent)
 {
@@ -354,7 +395,7 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"ingress_both_lengths", NULL};
+static const char *const mutants[] = {"ingress_cut_arrived", "ingress_both_lengths", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -364,6 +405,7 @@
 	tcase_add_test(tc, bodies_arrive_complete);
 	tcase_add_test(tc, close_by_the_caller_is_reported);
 	tcase_add_test(tc, shutdown_answers_open_requests);
+	tcase_add_test(tc, shutdown_answers_requests_that_have_arrived);
 	tcase_add_test(tc, hop_by_hop_headers_are_not_sent);
 }
 
