mesh: the choice of hubs takes time linear in the gateways

Cause: each choice compared every member with every entry of its region and every peer, 2 times a second and after each connection: 87,000 comparisons of strings at 295 gateways. Change: entries point to their members; peers are looked up by name. Own row is left out of the targets. Tests: script mesh and script gateway as expected, unit_hubs.

--- a/src/process/gateway_mesh.c
+++ b/src/process/gateway_mesh.c
@@ -37,9 +37,9 @@
 /* ---- table of gateways ---------------------------------------------------------------------- */
 
 /* Stops connecting to the member; closes an open connection unless one end is a hub. */
-static void remove_target(struct gateway *g, struct gateway_member *m, bool connected)
+static void remove_target(struct gateway *g, struct gateway_member *m)
 {
-	bool unused = connected && !g->is_hub && !m->hub;
+	bool unused = m->connected && !g->is_hub && !m->hub;
 
 	if (m->target && !unused)
 		peer_drop_address(g->peers, m->ip, m->port);
@@ -240,31 +240,30 @@
 
 /* ---- hubs ----------------------------------------------------------------------------------- */
 
-static struct gateway_peer *peer_of(const struct gateway *g, const struct gateway_member *m)
-{
-	struct gateway_peer *p;
-
-	for (p = g->peer_states; p; p = p->hh.next) {
-		if (p->id == m->id_hash)
-			return p;
-	}
-	return NULL;
-}
-
 static bool is_self(const struct gateway *g, const struct gateway_member *m)
 {
 	return strcmp(m->id, g->id) == 0;
 }
 
-/* Records since when a gateway that should be connected is not. */
-static void note_connection(struct gateway *g, struct gateway_member *m, clk_ms now)
+/* Records which members are connected, and since when the others are not. */
+static void note_connections(struct gateway *g, clk_ms now)
 {
-	const struct gateway_peer *p = peer_of(g, m);
+	const struct gateway_peer *p;
+	struct gateway_member *m;
 
-	if (p || is_self(g, m))
-		m->missing_since = 0;
-	else if (!m->missing_since)
-		m->missing_since = now;
+	for (m = g->members; m; m = m->hh.next)
+		m->connected = is_self(g, m);
+	for (p = g->peer_states; p; p = p->hh.next) {
+		HASH_FIND_STR(g->members, p->name, m);
+		if (m)
+			m->connected = true;
+	}
+	for (m = g->members; m; m = m->hh.next) {
+		if (m->connected)
+			m->missing_since = 0;
+		else if (!m->missing_since)
+			m->missing_since = now;
+	}
 }
 
 static bool is_lost(const struct gateway_member *m, clk_ms now)
@@ -289,14 +288,13 @@
 			.id = m->id_hash,
 			.cpu_millis = m->cpu_millis,
 			.lost = is_lost(m, now),
+			.data = m,
 		};
 	}
 	hubs_choose(list, n);
-	for (m = g->members; m; m = m->hh.next) {
-		for (size_t i = 0; i < n && strcmp(m->region, region) == 0; i++) {
-			if (list[i].id == m->id_hash)
-				m->hub = list[i].hub;
-		}
+	for (size_t i = 0; i < n; i++) {
+		m = list[i].data;
+		m->hub = list[i].hub;
 	}
 	free(list);
 }
@@ -306,8 +304,6 @@
 {
 	bool is_leaf_here = g->is_hub && str_eq_cstr(g->settings.region, m->region);
 
-	if (is_self(g, m))
-		return false;
 	/* A lost hub stays a target, so that it is a hub again when it returns. */
 	if (m->hub || is_lost(m, now))
 		return true;
@@ -327,14 +323,15 @@
 		ctr_inc(&ctr_hub_changes);
 		log_info(&log, "this gateway is %s", g->is_hub ? "a hub" : "no hub");
 	}
-	for (p = g->peer_states; p; p = p->hh.next)
-		p->hub = false;
+	for (p = g->peer_states; p; p = p->hh.next) {
+		HASH_FIND_STR(g->members, p->name, m);
+		p->hub = m && m->hub;
+	}
 	for (m = g->members; m; m = m->hh.next) {
-		p = peer_of(g, m);
-		if (p)
-			p->hub = m->hub;
+		if (is_self(g, m))
+			continue;
 		if (!should_dial(g, m, now)) {
-			remove_target(g, m, p != NULL);
+			remove_target(g, m);
 			continue;
 		}
 		if (!m->target)
@@ -352,10 +349,9 @@
 		return;
 	g->mesh_changed = false;
 	g->mesh_updated = now;
-	for (m = g->members; m; m = m->hh.next) {
+	note_connections(g, now);
+	for (m = g->members; m; m = m->hh.next)
 		m->chosen = false;
-		note_connection(g, m, now);
-	}
 	for (m = g->members; m; m = m->hh.next) {
 		if (!m->chosen)
 			choose_hubs_of(g, m->region, now);
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -350,6 +350,7 @@
 			abort();
 		p->node = peer->node;
 		p->id = str_hash(str_from(peer->id));
+		snprintf(p->name, sizeof(p->name), "%s", peer->id);
 		snprintf(p->region, sizeof(p->region), "%s", peer->region);
 		HASH_ADD(hh, g->peer_states, node, sizeof(p->node), p);
 	}
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -50,6 +50,7 @@
 struct gateway_peer {
 	uint64_t node;
 	uint64_t id; /* hash of its name, the same over restarts */
+	char name[FLEET_NAME_BYTES];
 	char region[FLEET_NAME_BYTES];
 	bool hub;	       /* see hubs.h */
 	clk_ms heartbeat_sent; /* when the last heartbeat was sent to it */
@@ -118,6 +119,7 @@
 	uint32_t cpu_millis;  /* CPU time that it may use, 1/1000 core */
 	bool hub;	      /* see hubs.h */
 	bool chosen;	      /* `hub` is set in the choice that is under way */
+	bool connected;	      /* has a connection here, or is this gateway */
 	bool target;	      /* connections to it are opened from here */
 	clk_ms missing_since; /* since when it has no connection here, 0: it has one */
 	UT_hash_handle hh;
--- a/src/process/hubs.h
+++ b/src/process/hubs.h
@@ -27,8 +27,9 @@
 struct hubs_gateway {
 	uint64_t id; /* hash of its name, the same over restarts */
 	uint32_t cpu_millis;
-	bool lost; /* cannot be reached */
-	bool hub;  /* result */
+	bool lost;  /* cannot be reached */
+	bool hub;   /* result */
+	void *data; /* for use by the caller */
 };
 
 /* Returns the number of hubs of a region with `n` gateways: the square root, HUBS_MIN or more. */
