gateway: maps and tables cross a link once, requests for them back off

Change: a shard manager sends maps to its region and to the hubs of others, which pass them on; a gateway that is no hub gets whole maps from the hub that is its relay. Tables are requested within the region first, from others after 2 s. Both requests double their pause, to 2.4 and 3.2 s, until one is answered. Tests: script mesh (maps copied to the other region at most once for each hub; mutant gateway_map_to_all); script gateway.

--- a/src/process/gateway_key.c
+++ b/src/process/gateway_key.c
@@ -1,11 +1,12 @@
 /*
  * Messages between gateways about keyed services: the shard manager sends its ownership map to all
- * peers, and admission controllers report to the shard manager which keys were requested and how
- * fast the owners are.
+ * gateways, to those of other regions through their hubs, and admission controllers report to the
+ * shard manager which keys were requested and how fast the owners are.
  */
 #include "process/gateway_priv.h"
 
 #include "base/arena.h"
+#include "base/backoff.h"
 #include "base/ctr.h"
 #include "base/log.h"
 #include "base/mutant.h"
@@ -18,11 +19,21 @@
 #define MAP_BATCH_MS 40
 /* Time between two reports of requested keys; the shard manager plans about as often. */
 #define KEY_REPORT_MS 250
-/* Least time between two requests for the whole map of a service. */
+/*
+ * Least time between two requests for the whole map of a service. Doubles up to the maximum with
+ * each request without an answer: on a full link the maps take long, and asking again would keep it
+ * full.
+ */
 #define WHOLE_MAP_REQUEST_MS 300
+#define WHOLE_MAP_REQUEST_MAX_MS 2400
+/* Requests that a gateway sends to a hub of its region before it asks the shard manager itself. */
+#define MAX_RELAY_REQUESTS 3
 
 static const struct log log = {"keys"};
 CTR(ctr_gaps, "key_map_gaps_total", "Times that the map known here was older than it should be.");
+CTR(ctr_maps, "key_maps_total", "Changed ownership maps that this gateway made as shard manager.");
+CTR(ctr_maps_remote, "key_maps_remote_total",
+    "Copies of them that were sent to gateways of other regions.");
 CTR(ctr_unreported, "key_load_dropped_total",
     "Requests for keys left out of a report to the keeper.");
 
@@ -59,6 +70,45 @@
 	timer_arm(&g->map_timer, MAP_BATCH_MS);
 }
 
+/*
+ * Sends a map to the gateways of this region and to the hubs of the others, which pass it on. The
+ * map crosses a link between regions once for each hub there.
+ */
+static void broadcast_map(struct gateway *g, Bc__Frame *frame)
+{
+	struct gateway_peer *p;
+	struct gateway_peer *tmp;
+
+	ctr_inc(&ctr_maps);
+	HASH_ITER (hh, g->peer_states, p, tmp) {
+		bool same_region = gateway_in_same_region(g, p);
+
+		if (!same_region && !p->hub && !MUTANT(gateway_map_to_all))
+			continue;
+		ctr_add(&ctr_maps_remote, !same_region);
+		frame->key_map->relay = !same_region;
+		peer_send(g->peers, p->node, frame);
+	}
+}
+
+/* Passes a map of a shard manager in another region on to gateways of this one. */
+static void relay_map(struct gateway *g, const Bc__KeyMap *map)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__KeyMap copy = *map;
+	struct gateway_peer *p;
+	struct gateway_peer *tmp;
+
+	copy.relay = false;
+	frame.body_case = BC__FRAME__BODY_KEY_MAP;
+	frame.key_map = &copy;
+	HASH_ITER (hh, g->peer_states, p, tmp) {
+		if (!p->hub && gateway_in_same_region(g, p) &&
+		    gateway_relay_of(g, p->id) == g->node)
+			peer_send(g->peers, p->node, &frame);
+	}
+}
+
 void gateway_on_map_timer(struct timer *timer, void *data)
 {
 	struct gateway *g = data;
@@ -75,7 +125,7 @@
 			continue;
 		frame.body_case = BC__FRAME__BODY_KEY_MAP;
 		frame.key_map = shardmgr_map_changes(s->shardmgr, &arena);
-		gateway_broadcast(g, &frame);
+		broadcast_map(g, &frame);
 		arena_free(&arena);
 	}
 }
@@ -85,40 +135,56 @@
 	Bc__Frame frame = BC__FRAME__INIT;
 	struct arena arena = ARENA_INIT;
 
-	frame.key_map = shardmgr_full_map(s->shardmgr, &arena);
+	frame.key_map = shardmgr_known_map(s->shardmgr, &arena);
 	frame.body_case = BC__FRAME__BODY_KEY_MAP;
 	if (frame.key_map)
 		gateway_send(g, to, &frame);
 	arena_free(&arena);
 }
 
-void gateway_send_maps(struct gateway *g, uint64_t to)
+/* Whether a gateway gets its first map from this one: a hub from the shard manager, others from
+ * the hub that is their relay. */
+static bool is_map_source(const struct gateway *g, const struct gateway_service *s,
+			  const struct gateway_peer *to)
+{
+	if (to->hub)
+		return shardmgr_is_active(s->shardmgr);
+	return gateway_in_same_region(g, to) && gateway_relay_of(g, to->id) == g->node;
+}
+
+void gateway_send_maps(struct gateway *g, const struct gateway_peer *to)
 {
 	struct gateway_service *s;
 
 	for (s = g->services; s; s = s->hh.next) {
-		if (s->shardmgr && shardmgr_is_active(s->shardmgr))
-			send_whole_map(g, s, to);
+		if (s->shardmgr && is_map_source(g, s, to))
+			send_whole_map(g, s, to->node);
 	}
 }
 
-/* Requests the whole ownership map from its shard manager `from`. */
-static void request_whole_map(struct gateway *g, struct gateway_service *s, uint64_t from)
+/* Requests the whole ownership map from the relay of this gateway or from its shard manager. */
+static void request_whole_map(struct gateway *g, struct gateway_service *s, uint64_t shardmgr)
 {
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__KeyMapGet get = BC__KEY_MAP_GET__INIT;
 	clk_ms now = clk_now();
+	uint64_t relay = 0;
 
-	if (now - s->map_requested_at < WHOLE_MAP_REQUEST_MS)
+	if (s->map_requested_at &&
+	    now - s->map_requested_at <
+		    backoff_ms(WHOLE_MAP_REQUEST_MS, WHOLE_MAP_REQUEST_MAX_MS, s->map_requests))
 		return;
+	if (!g->is_hub && s->map_requests < MAX_RELAY_REQUESTS)
+		relay = gateway_relay_of(g, str_hash(str_from(g->id)));
 	s->map_requested_at = now;
+	s->map_requests++;
 	ctr_inc(&ctr_gaps);
-	log_info(&log, "ownership map of %s is out of date; requesting it from the shard manager",
-		 s->name);
+	log_info(&log, "ownership map of %s is out of date; requesting it from %s", s->name,
+		 relay ? "a hub" : "the shard manager");
 	get.service = s->name;
 	frame.body_case = BC__FRAME__BODY_KEY_MAP_GET;
 	frame.key_map_get = &get;
-	gateway_send(g, from, &frame);
+	gateway_send(g, relay ? relay : shardmgr, &frame);
 }
 
 void gateway_check_map(struct gateway *g, struct gateway_service *s, uint64_t from, uint64_t term,
@@ -133,8 +199,20 @@
 {
 	struct gateway_service *s = gateway_keyed_service(g, map->service);
 
-	if (s && shardmgr_apply_map(s->shardmgr, map) == KEYMAP_GAP)
+	if (!s)
+		return;
+	if (map->relay && g->is_hub)
+		relay_map(g, map);
+	switch (shardmgr_apply_map(s->shardmgr, map)) {
+	case KEYMAP_GAP:
 		request_whole_map(g, s, from);
+		break;
+	case KEYMAP_APPLIED:
+		s->map_requests = 0;
+		break;
+	case KEYMAP_OLD:
+		break;
+	}
 }
 
 /* ---- reports to the shard manager ----------------------------------------------------------- */
@@ -241,7 +319,7 @@
 		return true;
 	case BC__FRAME__BODY_KEY_MAP_GET:
 		s = gateway_keyed_service(g, frame->key_map_get->service);
-		if (s && shardmgr_is_active(s->shardmgr))
+		if (s)
 			send_whole_map(g, s, from);
 		return true;
 	case BC__FRAME__BODY_KEY_LOAD:
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -59,6 +59,7 @@
 #define MAX_HEARTBEAT_AGE_MS 1200
 /* Rows that a peer has newer are requested if they have not arrived by themselves in this time. */
 #define BEHIND_PEER_MS 500
+#define BEHIND_REMOTE_MS 2000
 
 static const struct log log = {"peers"};
 CTR(ctr_heartbeats_sent, "pulses_total", "Pulses sent to other gateways.");
@@ -221,9 +222,20 @@
 }
 
 /*
- * Requests rows that a peer has newer, while the store does not answer this gateway. A reader sends
- * them by itself soon after it has them, so there is a wait, unless no row is known yet.
+ * Returns how long newer rows of a peer may be missing until they are requested from it: a reader
+ * sends them by itself soon after it has them. Peers of other regions come last, since the tables
+ * would cross the link between the regions.
  */
+static clk_ms catch_up_wait(const struct gateway *g, const struct gateway_peer *p)
+{
+	bool known = g->topo && g->have_upstreams;
+
+	if (!gateway_in_same_region(g, p))
+		return BEHIND_REMOTE_MS;
+	return known ? BEHIND_PEER_MS : 0;
+}
+
+/* Requests rows that a peer has newer, while the store does not answer this gateway. */
 static void catch_up(struct gateway *g, const struct gateway_peer *p, const Bc__Pulse *msg)
 {
 	clk_ms now = clk_now();
@@ -234,9 +246,8 @@
 	}
 	if (!g->behind_since)
 		g->behind_since = now;
-	if (g->topo && g->have_upstreams && now - g->behind_since < BEHIND_PEER_MS)
-		return;
-	gateway_request_copies(g, p->node, now);
+	if (now - g->behind_since >= catch_up_wait(g, p))
+		gateway_request_copies(g, p->node, now);
 }
 
 /*
@@ -273,18 +284,14 @@
 	catch_up(g, p, msg);
 }
 
-/*
- * Returns the hub that passes a message on to a gateway that has no link to its sender: one of the
- * gateway's own region, the same at all hubs as long as they see the same hubs.
- */
-static uint64_t relay_of(const struct gateway *g, const struct gateway_peer *leaf)
+uint64_t gateway_relay_of(const struct gateway *g, uint64_t leaf)
 {
-	uint64_t best = g->node;
+	uint64_t best = g->is_hub ? g->node : 0;
 	const struct gateway_peer *p;
 
 	for (p = g->peer_states; p; p = p->hh.next) {
 		if (p->hub && gateway_in_same_region(g, p) &&
-		    rnd_mix(leaf->id, p->node) > rnd_mix(leaf->id, best))
+		    (!best || rnd_mix(leaf, p->node) > rnd_mix(leaf, best)))
 			best = p->node;
 	}
 	return best;
@@ -307,7 +314,7 @@
 	frame.crash = &copy;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
 		if (!p->hub && p->node != from && gateway_in_same_region(g, p) &&
-		    relay_of(g, p) == g->node)
+		    gateway_relay_of(g, p->id) == g->node)
 			gateway_send(g, p->node, &frame);
 	}
 }
@@ -358,10 +365,7 @@
 	HASH_FIND_STR(g->members, peer->id, m);
 	p->hub = m && m->hub;
 	send_first_heartbeat(g, p);
-	gateway_send_maps(g, peer->node);
-	/* Table changes may have been lost with the last connection to this peer. */
-	if (watch_is_passive(g->watch))
-		gateway_request_copies(g, peer->node, clk_now());
+	gateway_send_maps(g, p);
 }
 
 static void on_down(void *data, const struct peer_info *peer)
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -81,6 +81,7 @@
 	clk_ms no_shardmgr_since;
 	bool map_send_due;	 /* changed owners are sent when `map_timer` expires */
 	clk_ms map_requested_at; /* last request for the whole ownership map */
+	unsigned map_requests;	 /* such requests since a map was applied last */
 	/*
 	 * Keys of requests that this gateway received as admission controller since its last
 	 * report to the shard manager; a key is repeated for each request.
@@ -162,6 +163,7 @@
 	/* Store version after which `rows` has every change, deleted rows included. */
 	uint64_t rows_history_start[META_TABLES];
 	clk_ms copies_requested_at; /* last request to a peer for copies of tables */
+	unsigned copies_requests;   /* such requests since a copy was applied last */
 	clk_ms behind_since;	    /* since when a peer has newer rows, 0: none has */
 	clk_ms readers_seen;	    /* when a reader with a recent answer was known last */
 	struct gateway_peer *peer_states;
@@ -223,6 +225,11 @@
 void gateway_note_no_answer(void *gateway, uint64_t node);
 bool gateway_in_same_region(const struct gateway *g, const struct gateway_peer *p);
 void gateway_broadcast(struct gateway *g, Bc__Frame *frame);
+/*
+ * Returns the hub that passes messages on to a gateway that is no hub (hash of its name): a hub of
+ * this region, the same at all gateways as long as they see the same hubs; 0 if there is none.
+ */
+uint64_t gateway_relay_of(const struct gateway *g, uint64_t leaf);
 /* Sends a frame to a gateway; returns false if there is no connection to the node. */
 bool gateway_send(void *gateway, uint64_t node, Bc__Frame *frame);
 /*
@@ -263,8 +270,8 @@
  */
 void gateway_check_map(struct gateway *g, struct gateway_service *s, uint64_t from, uint64_t term,
 		       uint64_t version);
-/* Sends a new peer the ownership maps of all services for which this is the shard manager. */
-void gateway_send_maps(struct gateway *g, uint64_t to);
+/* Sends a new peer the ownership maps, if it gets them from this gateway. */
+void gateway_send_maps(struct gateway *g, const struct gateway_peer *to);
 /* Counts a request that this gateway received as admission controller, for the shard manager. */
 void gateway_note_key_request(void *gateway, const char *service, uint32_t key);
 /* Sends the counted requests to the shard managers when a report is due. */
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -13,6 +13,7 @@
 #include <zlib.h>
 
 #include "base/arena.h"
+#include "base/backoff.h"
 #include "base/ctr.h"
 #include "base/log.h"
 #include "base/rnd.h"
@@ -35,8 +36,13 @@
 /* A gateway that is no hub follows the store itself after this time without a reader, or later. */
 #define LEAF_READ_AFTER_MS 3000
 #define LEAF_READ_JITTER_MS 2000
-/* Least time between two requests to peers for copies of the tables. */
+/*
+ * Least time between two requests to peers for copies of the tables. Doubles up to the maximum with
+ * each request without a copy: on a full link the copies take long, and asking again would keep it
+ * full.
+ */
 #define COPY_REQUEST_PAUSE_MS 400
+#define COPY_REQUEST_PAUSE_MAX_MS 3200
 /* Deleted rows kept for each table, for peers that still have the rows. */
 #define MAX_DELETED_ROWS 1024
 
@@ -385,9 +391,13 @@
 {
 	static const enum meta_table tables[] = {META_CONFIG, META_UPSTREAMS, META_ROUTERS};
 
-	if (now - g->copies_requested_at < COPY_REQUEST_PAUSE_MS)
+	if (g->copies_requested_at &&
+	    now - g->copies_requested_at < backoff_ms(COPY_REQUEST_PAUSE_MS,
+						      COPY_REQUEST_PAUSE_MAX_MS,
+						      g->copies_requests))
 		return;
 	g->copies_requested_at = now;
+	g->copies_requests++;
 	for (size_t i = 0; i < sizeof(tables) / sizeof(tables[0]); i++) {
 		Bc__Frame frame = BC__FRAME__INIT;
 		Bc__TableGet msg = BC__TABLE_GET__INIT;
@@ -449,8 +459,16 @@
 	}
 	answer.rows = rows;
 	answer.n_rows = msg->n_rows;
-	if (watch_apply_copy(g->watch, (enum meta_table)msg->table, &copy) == WATCH_GAP)
+	switch (watch_apply_copy(g->watch, (enum meta_table)msg->table, &copy)) {
+	case WATCH_GAP:
 		gateway_request_copies(g, from, clk_now());
+		break;
+	case WATCH_APPLIED:
+		g->copies_requests = 0;
+		break;
+	case WATCH_UNUSED:
+		break;
+	}
 out:
 	arena_free(&arena);
 	free(rows);
--- a/src/process/shardmgr.c
+++ b/src/process/shardmgr.c
@@ -238,6 +238,13 @@
 	return keymap_pack(a, mgr->service, &mgr->sent, &mgr->sent, 0);
 }
 
+Bc__KeyMap *shardmgr_known_map(const struct shardmgr *mgr, struct arena *a)
+{
+	if (mgr->state == SHARDMGR_ACTIVE)
+		return shardmgr_full_map(mgr, a);
+	return mgr->view.term ? keymap_pack(a, mgr->service, &mgr->view, &mgr->view, 0) : NULL;
+}
+
 uint64_t shardmgr_map_version(const struct shardmgr *mgr)
 {
 	return mgr->sent.term == mgr->view.term ? mgr->sent.version : 0;
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5863,7 +5863,7 @@
   (ProtobufCMessageInit) bc__key_range__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__key_map__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bc__key_map__field_descriptors[6] =
 {
   {
     "service",
@@ -5925,9 +5925,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__KeyMap, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__key_map__field_indices_by_name[] = {
   3,   /* field[3] = ranges */
+  5,   /* field[5] = relay */
   0,   /* field[0] = service */
   4,   /* field[4] = since */
   1,   /* field[1] = term */
@@ -5936,7 +5949,7 @@
 static const ProtobufCIntRange bc__key_map__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bc__key_map__descriptor =
 {
@@ -5946,7 +5959,7 @@
   "Bc__KeyMap",
   "bc",
   sizeof(Bc__KeyMap),
-  5,
+  6,
   bc__key_map__field_descriptors,
   bc__key_map__field_indices_by_name,
   1,  bc__key_map__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -810,10 +810,14 @@
    * the ranges are changes to this version; 0: they are the whole map
    */
   uint64_t since;
+  /*
+   * the receiver passes it on to gateways of its region that are no hubs
+   */
+  protobuf_c_boolean relay;
 };
 #define BC__KEY_MAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__key_map__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/test/scripts/mesh.sh
+++ b/test/scripts/mesh.sh
@@ -1,9 +1,9 @@
 #!/bin/bash
 # Thirty gateways in two regions start together. Guards against connections between all of them,
 # against a new connection that makes a gateway send to all its peers, which at hundreds of gateways
-# filled the links between the regions, and against a gateway that learns nothing because the hubs
-# alone read the store.
-# mutants: hubs_all gateway_greet_all
+# filled the links between the regions, against maps of owners that cross them once for each gateway,
+# and against a gateway that learns nothing because the hubs alone read the store.
+# mutants: hubs_all gateway_greet_all gateway_map_to_all
 # shellcheck source=test/scripts/gateway_lib.sh
 . "$(dirname "$0")/gateway_lib.sh"
 begin
@@ -11,13 +11,15 @@
 GATEWAYS=30
 HUBS=24 # twelve in each region of fifteen
 
-new_address STORE STORE_CONTROL STORE_SECOND UP
+new_address STORE STORE_CONTROL STORE_SECOND UP UP_KEYED UP_CONTROL
 for i in $(seq $GATEWAYS); do new_address "FRONT$i" "READY$i" "PEER$i" "METRICS$i"; done
 
-# counter N NAME: prints a counter of gateway N.
+# counter N NAME: prints a counter of gateway N; one that was never increased is not shown, and 0.
 counter() {
 	local metrics=METRICS$1
-	curl -s -m 20 "http://${!metrics}/metrics" | sed -n "s/^bamboocroft_$2 //p"
+	local value
+	value=$(curl -s -m 20 "http://${!metrics}/metrics" | sed -n "s/^bamboocroft_$2 //p")
+	echo "${value:-0}"
 }
 is_ready() {
 	local ready=READY$1
@@ -50,8 +52,11 @@
 
 start store standin-rowstore --listen "$STORE" --control "$STORE_CONTROL" --second "$STORE_SECOND"
 wait_port "$STORE" "$STORE_CONTROL"
+start keyed standin-keyed --listen "$UP_KEYED" --control "$UP_CONTROL" --id u2 --keyed
+wait_port "$UP_KEYED"
 put_row op config "$(config_row 00000005 /order/)"
 put_row servers u1 "$(upstream_row plain "$UP" ready)"
+put_row servers u2 "$(upstream_row keys "$UP_KEYED" ready)"
 for i in $(seq $GATEWAYS); do
 	write_settings "$i"
 	if [ $((i % 2)) = 0 ]; then
@@ -65,6 +70,22 @@
 wait_until hubs_settled
 wait_until connections_settled
 echo "connected to the hubs only"
+# key_is_served N: whether gateway N knows the owner of a key.
+key_is_served() {
+	local front=FRONT$1
+	[ "$(curl -s -m 5 -o /dev/null -w '%{http_code}' -H "host: h.example" -H "x-attempt-id: id-$1-$RANDOM" \
+		-H "x-time-remaining: 3000" -H "x-shard-key: 5" "http://${!front}/look/1")" = 200 ]
+}
+for i in $(seq $GATEWAYS); do wait_until key_is_served "$i"; done
+echo "all know the owners of keys"
+maps=0
+remote=0
+for i in $(seq $GATEWAYS); do
+	maps=$((maps + $(counter "$i" key_maps_total)))
+	remote=$((remote + $(counter "$i" key_maps_remote_total)))
+done
+[ $maps -gt 0 ] || echo "no map was sent"
+[ $remote -le $((maps * HUBS / 2)) ] || echo "$remote copies of $maps maps were sent to the other region"
 # One heartbeat to each new peer, and one to each when the gateway begins or ceases to follow the store.
 for i in $(seq $GATEWAYS); do
 	extra=$(counter "$i" pulses_unscheduled_total)
