forward: a request that is sent again opens a new connection

Cause: a request keeps its id when it is sent again. After a "not run" of the owner of its key it may go to the same upstream on the same connection; a late second copy of that answer then comes first, with the right id, and passes for the answer: the gateway sends an order a third time although the second one ran, or refuses it as not run. Ruled out: copies on idle connections (closed on data), copies without an id (no answer is passed on). Test: script latecopy, an upstream that sends such copies: 10 orders, ran 20 times before, 10 times after; mutant forward_resend_on_conn.

--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -473,6 +473,11 @@
 		.body = req->body,
 		.request_id = f->request_id,
 		.timeout = (left > 1 ? left : 1) + DEADLINE_GRACE_MS,
+		/*
+		 * The id is that of the attempts before, so on a connection of theirs a late second
+		 * copy of their answer would pass for the answer to this one.
+		 */
+		.fresh = f->sends > 0 && !MUTANT(forward_resend_on_conn),
 		.may_send = may_send,
 	};
 }
