test: late copies of answers, endless answers beside those of others

Three endless answers of one upstream do not end those of another; mutant answers_unlimited fails it.

--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -1071,12 +1071,124 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"upconn_accept_other_id",    "upconn_reuse_unread",
-	"upconn_keep_after_timeout", "upconn_accept_truncated",
-	"upconn_skip_may_send",	     "upconn_reset_keeps_idle",
-	"upconn_close_in_order",     NULL,
+	"upconn_accept_other_id",  "upconn_reuse_unread",  "upconn_keep_after_timeout",
+	"upconn_accept_truncated", "upconn_skip_may_send", "upconn_reset_keeps_idle",
+	"upconn_close_in_order",   "answers_unlimited",	   NULL,
 };
 
+/*
+ * Bytes that precede the own answer on a connection: late copies of answers to another request.
+ * Guards against passing any of them on; the call may fail, but not succeed with other bytes.
+ */
+START_TEST(late_copies_never_pass_for_the_answer)
+{
+	static const char *const copies[] = {
+		"HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 3\r\n\r\nold",
+		"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold",
+		"HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 30\r\n\r\nold",
+		"HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 30\r\n",
+		"HTTP/1.1 200 OK\r\nx-id: old\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n"
+		"0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nx-id: old\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n",
+		"HTTP/1.1 200 OK\r\nx-id: old\r\n\r\nold",
+		"HTTP/1.1 204 No Content\r\nx-id: old\r\n\r\n",
+		"HTTP/1.1 304 Not Modified\r\nx-id: old\r\ncontent-length: 3\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: old\r\n"
+		"content-length: 3\r\n\r\nold",
+		"old",
+		"3\r\nold\r\n0\r\n\r\n",
+	};
+	static const char own[] = "HTTP/1.1 200 OK\r\nx-id: new\r\ncontent-length: 3\r\n\r\nnew";
+	struct upconn_options opts = {.max_idle = 4,
+				      .id_header = "x-id",
+				      .skip_mismatched = true,
+				      .allow_close_delimited = true};
+
+	for (size_t i = 0; i < sizeof(copies) / sizeof(copies[0]); i++) {
+		char bytes[512];
+		size_t len = (size_t)snprintf(bytes, sizeof(bytes), "%s%s", copies[i], own);
+
+		for (size_t cut = 1; cut < len; cut += 7) {
+			struct upconn_request req = get("/a");
+			struct outcome o = {0};
+			struct fixture f;
+
+			setup(&f);
+			replace_pool(&f, &opts);
+			req.request_id = STR_LIT("new");
+			req.timeout = 3000;
+			f.script.answers[0] = (struct str){bytes, len};
+			f.script.cut = cut;
+			f.script.close_after = true;
+			make_call(&f, &req, &o);
+			ck_assert_msg(o.result != UPCONN_OK || strcmp(o.body, "new") == 0,
+				      "copy %zu cut at %zu: %s", i, cut, o.body);
+			free(o.body);
+			teardown(&f);
+		}
+	}
+}
+END_TEST
+
+#define MEMORY_LIMIT (1024u * 1024)
+#define ENDLESS_BYTES (400u * 1024)
+#define HEALTHY_BYTES (300u * 1024)
+
+static bool memory_is_short(void *data)
+{
+	struct outcome *o = data;
+
+	return o[0].done || o[1].done || o[2].done;
+}
+
+/*
+ * Three answers of one upstream do not end and take more memory than all answers may. Guards
+ * against ending the answers of another upstream for them.
+ */
+START_TEST(endless_answers_are_ended_before_those_of_others)
+{
+	struct answer_memory memory = {.limit = MEMORY_LIMIT};
+	struct upconn_options opts = {.max_idle = 4, .memory = &memory};
+	struct upconn_request req = get("/a");
+	struct outcome endless[3] = {0};
+	struct outcome healthy = {0};
+	char *chunk = calloc(1, ENDLESS_BYTES + 100);
+	char *whole = calloc(1, HEALTHY_BYTES + 100);
+	struct upconn_pool *other;
+	struct fixture f;
+	size_t head;
+
+	setup(&f);
+	replace_pool(&f, &opts);
+	other = upconn_pool_create_with(f.loop, IP, f.server.port, &opts);
+	head = (size_t)sprintf(chunk, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n%x\r\n",
+			       2 * ENDLESS_BYTES);
+	for (size_t i = 0; i < 3; i++)
+		f.script.answers[i] = (struct str){chunk, head + ENDLESS_BYTES};
+	head = (size_t)sprintf(whole, "HTTP/1.1 200 OK\r\ncontent-length: %u\r\n\r\n",
+			       HEALTHY_BYTES);
+	f.script.answers[3] = (struct str){whole, head + HEALTHY_BYTES};
+	for (size_t i = 0; i < 3; i++)
+		upconn_send(f.pool, &req, on_answer, &endless[i]);
+	ck_assert(unit_run_until(f.loop, memory_is_short, endless));
+	upconn_send(other, &req, on_answer, &healthy);
+	ck_assert(unit_run_until(f.loop, is_done, &healthy));
+	ck_assert_int_eq(healthy.result, UPCONN_OK);
+	ck_assert_uint_eq(healthy.body_len, HEALTHY_BYTES);
+	ck_assert_uint_le(memory.used, MEMORY_LIMIT);
+	for (size_t i = 0; i < 3; i++) {
+		ck_assert(!endless[i].done || endless[i].result == UPCONN_TOO_LARGE);
+		free(endless[i].body);
+	}
+	upconn_pool_destroy(other);
+	free(healthy.body);
+	teardown(&f);
+	ck_assert_uint_eq(memory.used, 0);
+	free(chunk);
+	free(whole);
+}
+END_TEST
+
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, connection_is_reused_after_a_complete_answer);
@@ -1110,6 +1222,8 @@
 	tcase_add_test(tc, idle_timeout_of_the_server_is_respected);
 	tcase_add_test(tc, retired_pool_finishes_its_calls);
 	tcase_add_test(tc, timed_out_call_resets_its_connection);
+	tcase_add_test(tc, late_copies_never_pass_for_the_answer);
+	tcase_add_test(tc, endless_answers_are_ended_before_those_of_others);
 }
 
 int main(int argc, char **argv)
