--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -1087,14 +1087,14 @@
 		"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold",
 		"HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 30\r\n\r\nold",
 		"HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 30\r\n",
-		"HTTP/1.1 200 OK\r\nx-id: old\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n"
-		"0\r\n\r\n",
+		("HTTP/1.1 200 OK\r\nx-id: old\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n"
+		 "0\r\n\r\n"),
 		"HTTP/1.1 200 OK\r\nx-id: old\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n",
 		"HTTP/1.1 200 OK\r\nx-id: old\r\n\r\nold",
 		"HTTP/1.1 204 No Content\r\nx-id: old\r\n\r\n",
 		"HTTP/1.1 304 Not Modified\r\nx-id: old\r\ncontent-length: 3\r\n\r\n",
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: old\r\n"
-		"content-length: 3\r\n\r\nold",
+		("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: old\r\n"
+		 "content-length: 3\r\n\r\nold"),
 		"old",
 		"3\r\nold\r\n0\r\n\r\n",
 	};
