readers: four gateways of a region read the store again

Cause: with two, a store that goes silent for a third of the gateways silences both readers of a region 12 of 100 times. Test: unit_readers a_third_without_store_rarely_takes_all_readers fails with two, passes with four.

--- a/src/process/readers.h
+++ b/src/process/readers.h
@@ -19,7 +19,7 @@
 #include "base/clk.h"
 
 /* Readers of one region: enough to survive simultaneous failures, few as each calls the store. */
-#define READERS_PER_REGION 2
+#define READERS_PER_REGION 4
 /*
  * A reader is trusted while the store's last answer to it is younger than this. That covers the
  * interval of answers, a slow answer and the transfer of the heartbeat that reports it. Together
--- a/test/unit_readers.c
+++ b/test/unit_readers.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/rnd.h"
 #include "process/readers.h"
 #include "test/unit.h"
 
@@ -174,9 +175,39 @@
 
 static const char *const mutants[] = {"readers_all_at_once", NULL};
 
+/*
+ * The store stops answering a third of the gateways, as happened when a configuration was written
+ * at the same time. Guards against a region whose readers are often all among them: its gateways
+ * get the configuration only after others have begun to read. Bound: 2 of 100 times.
+ */
+START_TEST(a_third_without_store_rarely_takes_all_readers)
+{
+	enum { DRAWS = 2000 };
+	struct reader_info gateways[GATEWAYS];
+	uint64_t nodes[GATEWAYS];
+	size_t lost = 0;
+	struct rnd rnd;
+
+	rnd_seed(&rnd, 7);
+	for (size_t draw = 0; draw < DRAWS; draw++) {
+		struct readers r = {.nodes = nodes};
+		size_t silent = 0;
+
+		for (size_t i = 0; i < GATEWAYS; i++)
+			gateways[i] = (struct reader_info){.node = rnd_u64(&rnd)};
+		readers_choose(&r, gateways, GATEWAYS);
+		for (size_t i = 0; i < r.n; i++)
+			silent += rnd_below(&rnd, 3) == 0;
+		lost += silent == r.n;
+	}
+	ck_assert_uint_le(lost * 100, 2 * DRAWS);
+}
+END_TEST
+
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, few_gateways_read);
+	tcase_add_test(tc, a_third_without_store_rarely_takes_all_readers);
 	tcase_add_test(tc, late_reader_is_replaced);
 	tcase_add_test(tc, slow_store_is_not_overloaded);
 	tcase_add_test(tc, only_answered_gateway_is_found);
