watch: the first call of a new reader is answered at once

Cause: a gateway that begins to read opened calls that wait in the store for a change, the one for the configuration up to 1 s. A reader without an answer within 500 ms (READERS_FIRST_ANSWER_MS) is replaced, so without changes a new reader never counted: it gave up, was chosen again 100 ms later, and sent a heartbeat to all of its region each time.

Log of gateway 15: "receiving tables from readers, 2 readers have a recent answer" and "following the store" every 500 ms from 2 s after the start to its end; the region had 2 of its 4 readers. Ruled out: connections that were closed and opened again (all "is down" lines are from the stop of the run), load (the alternation follows the two constants, and is there in every kept log).

Now the first configuration call after a gateway begins to read does not wait. unit_watch fails without it (mutant watch_wait_first).

--- a/src/process/watch.c
+++ b/src/process/watch.c
@@ -64,6 +64,7 @@
 	struct table tables[WATCHED_TABLES];
 	bool store_ok;	     /* the store answered the last call */
 	bool passive;	     /* does not call the store */
+	bool answered;	     /* the store has answered since the watch became active */
 	bool probe_open;     /* while the store fails: a table has the one call that probes it */
 	clk_ms config_wait;  /* longest wait of calls for the configuration, 0: WATCH_WAIT_MS */
 	clk_ms retry_pause;  /* pause after the next failure */
@@ -83,8 +84,10 @@
 /* Records whether the store answers; all tables are called again after an outage. */
 static void set_store_ok(struct watch *w, bool store_ok)
 {
-	if (store_ok)
+	if (store_ok) {
 		w->last_answer = clk_now();
+		w->answered = true;
+	}
 	if (store_ok == w->store_ok)
 		return;
 	w->store_ok = store_ok;
@@ -177,12 +180,16 @@
 						     : CHANGES_PAUSE_MS);
 }
 
-/* Returns how long the next call for changes may wait in the store. */
+/*
+ * Returns how long the next call for changes may wait in the store. The first call of an active
+ * watch does not wait: its answer shows the peers that this gateway reaches the store.
+ */
 static clk_ms max_wait(const struct table *t)
 {
 	const struct watch *w = t->watch;
+	bool first = t->id == META_CONFIG && !w->answered && !MUTANT(watch_wait_first);
 
-	if (!w->store_ok)
+	if (!w->store_ok || first)
 		return 0;
 	return w->config_wait && t->id == META_CONFIG ? w->config_wait : WATCH_WAIT_MS;
 }
@@ -339,6 +346,7 @@
 	w->passive = passive;
 	/* As in watch_create(), an active watch assumes that the store answers. */
 	w->store_ok = !passive;
+	w->answered = false;
 	w->probe_open = false;
 	w->retry_pause = RETRY_FIRST_MS;
 	for (size_t i = 0; i < WATCHED_TABLES; i++) {
--- a/test/unit_watch.c
+++ b/test/unit_watch.c
@@ -11,6 +11,7 @@
 	enum meta_table table;
 	bool whole;
 	uint64_t after;
+	clk_ms wait;
 	meta_cb cb;
 	void *data;
 	bool answered;
@@ -31,22 +32,26 @@
 	size_t last_rows;
 };
 
-static void add_call(struct meta *m, enum meta_table table, bool whole, uint64_t after, meta_cb cb,
-		     void *data)
+static void add_call(struct meta *m, const struct pending *call)
 {
 	ck_assert_uint_lt(m->n, MAX_CALLS);
-	m->calls[m->n++] = (struct pending){table, whole, after, cb, data, false};
+	m->calls[m->n++] = *call;
 }
 
 static void store_read(struct meta *m, enum meta_table table, meta_cb cb, void *data)
 {
-	add_call(m, table, true, 0, cb, data);
+	struct pending call = {.table = table, .whole = true, .cb = cb, .data = data};
+
+	add_call(m, &call);
 }
 
 static void store_watch(struct meta *m, enum meta_table table, uint64_t after, clk_ms wait,
 			meta_cb cb, void *data)
 {
-	add_call(m, table, false, after, cb, data);
+	struct pending call = {
+		.table = table, .after = after, .wait = wait, .cb = cb, .data = data};
+
+	add_call(m, &call);
 }
 
 static const struct meta_driver driver = {.read = store_read, .watch = store_watch};
@@ -288,7 +293,31 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"watch_ignore_gap", NULL};
+/*
+ * A gateway that begins to read counts as a reader once the store has answered it. Guards against a
+ * first call that waits in the store for a change: without changes, readers that the store would
+ * answer were replaced by each other for as long as nothing changed.
+ */
+START_TEST(first_call_of_active_watch_is_answered_at_once)
+{
+	static struct fixture f;
+
+	setup(&f);
+	answer_call(open_call(&f, META_CONFIG), META_OK, 10, 1);
+	answer_call(open_call(&f, META_UPSTREAMS), META_OK, 10, 1);
+	watch_set_passive(f.watch, true);
+	watch_set_config_wait(f.watch, 1000);
+	watch_set_passive(f.watch, false);
+	ck_assert(unit_run_until(f.loop, has_config_call, &f));
+	ck_assert_int_eq(open_call(&f, META_CONFIG)->wait, 0);
+	answer_call(open_call(&f, META_CONFIG), META_OK, 10, 0);
+	ck_assert(unit_run_until(f.loop, has_config_call, &f));
+	ck_assert_int_eq(open_call(&f, META_CONFIG)->wait, 1000);
+	teardown(&f);
+}
+END_TEST
+
+static const char *const mutants[] = {"watch_ignore_gap", "watch_wait_first", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -299,6 +328,7 @@
 	tcase_add_test(tc, copies_are_used_without_the_store);
 	tcase_add_test(tc, passive_watch_applies_changes);
 	tcase_add_test(tc, active_watch_continues_from_copies);
+	tcase_add_test(tc, first_call_of_active_watch_is_answered_at_once);
 }
 
 int main(int argc, char **argv)
