ingress: strict line ends of chunked bodies, methods and reason phrases

Cause: the decoder of the HTTP library accepts chunk lines that end in LF alone, so that a caller's proxy and this program may see different ends of a request; bytes that can't be a method ("{}" after a request) waited for the header timeout and got 408; refusals had the reason phrase "Error". Now chunk_lines.c checks that each line of a chunked body ends in CRLF (400 and close), a head that does not start with a token is refused at once, and refusals have the phrases of RFC 9110. Tests first: unit_ingress, 7 bodies that ran with 200 before and 6 forms of bytes after a request; mutant ingress_bare_lf.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -15,6 +15,7 @@
 #include "base/ctr.h"
 #include "base/log.h"
 #include "base/mutant.h"
+#include "connection/chunk_lines.h"
 #include "connection/picohttp.h"
 #include "connection/timer.h"
 
@@ -63,6 +64,7 @@
 	size_t write_bytes;	       /* size of `write_buf` as counted in `answers` */
 	struct answer_memory *answers; /* where the response being written is counted, or NULL */
 	struct phr_chunked_decoder chunks;
+	struct chunk_lines chunk_lines;
 	struct ingress_conn *prev;
 	struct ingress_conn *next;
 };
@@ -446,6 +448,11 @@
 
 	if (n == 0)
 		return false;
+	if (!MUTANT(ingress_bare_lf) &&
+	    !chunk_lines_check(&c->chunk_lines, c->sock->input->bytes, n)) {
+		*status = 400;
+		return false;
+	}
 	body_append(c, c->sock->input->bytes, n);
 	c->raw_body_bytes += n;
 	left = phr_decode_chunked(&c->chunks, c->body + start, &n);
@@ -501,6 +508,17 @@
 		log_info(&log, "cannot send 100 Continue to a caller: %s", strerror(errno));
 }
 
+/* Whether the bytes up to the first space can be a method (RFC 9110, 5.6.2). */
+static bool starts_with_token(const char *bytes, size_t n)
+{
+	for (size_t i = 0; i < n && bytes[i] != ' '; i++) {
+		if (!isalnum((unsigned char)bytes[i]) &&
+		    (!bytes[i] || !strchr("!#$%&'*+-.^_`|~", bytes[i])))
+			return false;
+	}
+	return true;
+}
+
 static void read_head(struct ingress_conn *c)
 {
 	size_t max = c->in->handlers.limits(c->in->data)->max_header_bytes;
@@ -515,6 +533,10 @@
 	int status;
 	int len;
 
+	if (!starts_with_token(c->sock->input->bytes, c->sock->input->size)) {
+		refuse_request(c, 400, "the head of the request does not start with a method");
+		return;
+	}
 	len = phr_parse_request(c->sock->input->bytes, c->sock->input->size, &method, &method_len,
 				&path, &path_len, &minor_version, headers, &n, 0);
 	if (len == -2 && c->sock->input->size <= max)
@@ -543,6 +565,7 @@
 	h2o_buffer_consume(&c->sock->input, (size_t)len);
 	c->state = CONN_BODY;
 	c->chunks = (struct phr_chunked_decoder){.consume_trailer = 1};
+	c->chunk_lines = (struct chunk_lines){0};
 	status = read_framing(c, minor_version, &why);
 	if (status) {
 		refuse_request(c, status, why);
@@ -598,9 +621,38 @@
 
 /* ---- response ------------------------------------------------------------------------------- */
 
+/* Returns the reason phrase of RFC 9110 for a status; an empty one is valid for others. */
 static const char *reason_phrase(int status)
 {
-	return status < 400 ? "OK" : "Error";
+	static const struct {
+		int status;
+		const char *phrase;
+	} phrases[] = {
+		{200, "OK"},
+		{201, "Created"},
+		{202, "Accepted"},
+		{204, "No Content"},
+		{304, "Not Modified"},
+		{400, "Bad Request"},
+		{403, "Forbidden"},
+		{404, "Not Found"},
+		{408, "Request Timeout"},
+		{409, "Conflict"},
+		{413, "Content Too Large"},
+		{421, "Misdirected Request"},
+		{429, "Too Many Requests"},
+		{431, "Request Header Fields Too Large"},
+		{500, "Internal Server Error"},
+		{502, "Bad Gateway"},
+		{503, "Service Unavailable"},
+		{504, "Gateway Timeout"},
+	};
+
+	for (size_t i = 0; i < sizeof(phrases) / sizeof(phrases[0]); i++) {
+		if (phrases[i].status == status)
+			return phrases[i].phrase;
+	}
+	return "";
 }
 
 static size_t head_size(const struct ingress_header *headers, size_t n)
--- a/test/unit_ingress.c
+++ b/test/unit_ingress.c
@@ -171,6 +171,19 @@
 		"POST / HTTP/1.1\r\nhost: x\r\nfoo: a\r\n b\r\ncontent-length: 0\r\n\r\n",
 		"POST / HTTP/1.1\r\nhost: x\r\ncontent-length : 6\r\n\r\nabcdef",
 		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nabc",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+		"chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+		"chunked\r\n\r\n3\r\nabc\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+		"chunked\r\n\r\n3\r\nabc\r\n0\n\r\n",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+		"chunked\r\n\r\n3\r\nabc\r\n0\r\n\n",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+		"chunked\r\n\r\n3;a\nb\r\nabc\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: "
+		"chunked\r\n\r\n3\r\nabc\r\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n0\r\na: b\n\r\n",
 		"GET / HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n",
 		"GET / HTTP/1.1\r\n\r\n",
 		"nonsense\r\n\r\n",
@@ -192,6 +205,29 @@
 }
 END_TEST
 
+/* Guards against bytes after a request that get neither an answer nor a close. */
+START_TEST(garbage_after_a_request_is_refused)
+{
+	static const char *const garbage[] = {"\x01\x02\x03", "{}",
+					      "xyz\r\n",      "{} / HTTP/1.1\r\nhost: x\r\n\r\n",
+					      "0\r\n\r\n",    "xyz / HTTP/9.9\r\n\r\n"};
+
+	for (size_t i = 0; i < sizeof(garbage) / sizeof(garbage[0]); i++) {
+		static struct fixture f;
+
+		setup(&f);
+		send_bytes(&f, "GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+		send_bytes(&f, garbage[i]);
+		ck_assert_msg(unit_run_until(f.loop, has_closed, &f), "%s", garbage[i]);
+		ck_assert_int_eq(status_of(&f), 200);
+		ck_assert_msg(strstr(f.answer, "HTTP/1.1 400 Bad Request\r\n") != NULL, "%s: %s",
+			      garbage[i], f.answer);
+		ck_assert_uint_eq(f.requests, 1);
+		teardown(&f);
+	}
+}
+END_TEST
+
 /*
  * Guards against callers that use memory or connections without limit: long bodies, long heads, and
  * heads or connections that take too long.
@@ -395,11 +431,13 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"ingress_cut_arrived", "ingress_both_lengths", NULL};
+static const char *const mutants[] = {"ingress_cut_arrived", "ingress_both_lengths",
+				      "ingress_bare_lf", NULL};
 
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, ambiguous_framing_is_refused);
+	tcase_add_test(tc, garbage_after_a_request_is_refused);
 	tcase_add_test(tc, limits_are_enforced);
 	tcase_add_test(tc, total_body_memory_is_limited);
 	tcase_add_test(tc, bodies_arrive_complete);
