admit: requests wait for a paused owner; one pause for failures that come together

Cause: an upstream that failed a request gets none for 100 ms, doubled with each further failure up to 2 s. For a keyed service the owner is the only upstream of its keys: during its pause new requests were refused unless they could wait 700 ms, which a route with a short time limit can't; and when one reset ended several requests, each doubled the pause. Now the expected wait behind a paused owner is the rest of its pause, and failures during a pause, of requests sent before it, do not lengthen it.

--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -136,40 +136,52 @@
 	u->utilization_at = now;
 }
 
-/*
- * Returns the number of slots of usable upstreams that are not paused, and in `idle` how many of
- * them can be granted now. Counts the upstream `only`, or all if NULL.
- */
-static uint32_t open_slots(const struct admit *a, const struct upstream *only, clk_ms now,
-			   uint32_t *idle)
-{
+/* Slots of the upstream `only`, or of all if NULL. */
+struct capacity {
+	uint32_t slots;	 /* of usable upstreams that are not paused */
+	uint32_t idle;	 /* of these, the number that can be granted now */
+	uint32_t paused; /* of usable upstreams that are paused */
+	clk_ms resumes;	 /* end of the first pause */
+};
+
+static struct capacity count_capacity(const struct admit *a, const struct upstream *only,
+				      clk_ms now)
+{
+	struct capacity c = {.resumes = CLK_NEVER};
 	const struct upstream *u;
-	uint32_t slots = 0;
 
-	*idle = 0;
 	for (u = a->upstreams; u; u = u->hh.next) {
-		uint32_t used = u->in_use + admit_load_elsewhere(u, now);
-
-		if ((only && u != only) || !admit_is_usable(u) || now < u->paused_until)
+		if ((only && u != only) || !admit_is_usable(u))
 			continue;
-		slots += u->conf.slots;
+		if (now < u->paused_until) {
+			if (MUTANT(admit_paused_is_gone))
+				continue;
+			c.paused += u->conf.slots;
+			if (u->paused_until < c.resumes)
+				c.resumes = u->paused_until;
+			continue;
+		}
+		c.slots += u->conf.slots;
 		if (admit_can_grant(a, u, now))
-			*idle += u->conf.slots - used;
+			c.idle += u->conf.slots - u->in_use - admit_load_elsewhere(u, now);
 	}
-	return slots;
+	return c;
 }
 
 clk_ms admit_wait_behind(const struct admit *a, const struct upstream *only, clk_ms now,
 			 uint32_t ahead)
 {
-	uint32_t idle;
-	uint32_t slots = open_slots(a, only, now, &idle);
+	struct capacity c = count_capacity(a, only, now);
+	double service = admit_mean_service(a, only);
 
-	if (ahead < idle)
+	if (ahead < c.idle)
 		return 0;
-	if (slots == 0)
+	if (c.slots)
+		return (clk_ms)((ahead - c.idle + 1) * service / c.slots);
+	if (!c.paused)
 		return ADMIT_OWNER_WAIT_MS;
-	return (clk_ms)((ahead - idle + 1) * admit_mean_service(a, only) / slots);
+	/* All slots are free when the pause ends, unless requests sent before still run. */
+	return c.resumes - now + (clk_ms)(ahead * service / c.paused);
 }
 
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
@@ -193,6 +205,9 @@
 
 void admit_pause(struct upstream *u, clk_ms now)
 {
+	/* Failures of requests that were sent before the pause tell nothing new. */
+	if (now < u->paused_until)
+		return;
 	u->pause = u->pause ? u->pause * 2 : INITIAL_PAUSE_MS;
 	if (u->pause > MAX_PAUSE_MS)
 		u->pause = MAX_PAUSE_MS;
--- a/test/unit_admit.c
+++ b/test/unit_admit.c
@@ -195,6 +195,70 @@
 }
 END_TEST
 
+/*
+ * A hot key: 1.8 times what its one owner bears. Guards against requests that wait although they
+ * can't get a slot in time, and are refused at the end of their wait.
+ */
+START_TEST(hot_key_refusals_come_early)
+{
+	static struct model m;
+	const clk_ms end = 60000;
+	struct result r;
+	double used;
+
+	model_init(&m, 1, 2, true);
+	m.owner = 1;
+	for (clk_ms now = 0; now < end; now++)
+		step(&m, now, 1.8 * 2 * 1000.0 / MEAN_SERVICE_MS);
+	r = count(&m, 3000);
+	used = (double)m.busy_ms / (double)(end * 2);
+	ck_assert_msg(used > 0.95, "only %.2f of the slots were busy", used);
+	ck_assert_msg(r.in_time > 9 * r.late, "%zu in time, %zu late", r.in_time, r.late);
+	ck_assert_msg(r.refused_late * 10 < r.refused, "%zu of %zu refusals came late",
+		      r.refused_late, r.refused);
+	admit_destroy(m.admit);
+}
+END_TEST
+
+/* Ends all running requests, as a reset of the upstream's connections does. */
+static void break_requests(struct model *m, clk_ms now)
+{
+	static const struct admit_report none;
+
+	for (size_t i = 0; i < m->n; i++) {
+		struct model_request *r = &m->requests[i];
+
+		if (!r->granted || r->done)
+			continue;
+		r->done = true;
+		m->running[r->upstream - 1]--;
+		admit_done(m->admit, now, r->slot, ADMIT_BROKE, now - r->granted, &none);
+	}
+}
+
+/*
+ * The connections of a key's owner are reset every second, at 0.5 of its capacity. Guards against
+ * refusals of all requests for its keys during a pause that is shorter than they can wait, and
+ * against a pause that grows with the number of requests which one reset ended.
+ */
+START_TEST(requests_wait_for_a_paused_owner)
+{
+	static struct model m;
+	struct result r;
+
+	model_init(&m, 1, 4, true);
+	m.owner = 1;
+	for (clk_ms now = 0; now < 40000; now++) {
+		step(&m, now, 0.5 * 4 * 1000.0 / MEAN_SERVICE_MS);
+		if (now % 1000 == 999)
+			break_requests(&m, now);
+	}
+	r = count(&m, 3000);
+	ck_assert_msg(r.refused * 20 < m.n, "%zu of %zu refused", r.refused, m.n);
+	admit_destroy(m.admit);
+}
+END_TEST
+
 /* Bursts while the average load is below capacity: hardly any request is refused. */
 START_TEST(burst_below_capacity_is_served)
 {
@@ -429,12 +493,15 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"admit_no_refusal", "admit_over_slots", "admit_ignore_cold", "admit_ignore_slow", NULL,
+	"admit_no_refusal",  "admit_over_slots",     "admit_ignore_cold",
+	"admit_ignore_slow", "admit_paused_is_gone", NULL,
 };
 
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, lasting_overload_answers_admitted_requests_in_time);
+	tcase_add_test(tc, hot_key_refusals_come_early);
+	tcase_add_test(tc, requests_wait_for_a_paused_owner);
 	tcase_add_test(tc, burst_below_capacity_is_served);
 	tcase_add_test(tc, reported_own_requests_take_no_slot);
 	tcase_add_test(tc, slow_upstreams_get_few_requests);
