readers: a gateway without an answer of the store leaves its place

Cause: a gateway that the store does not answer was replaced after 500 ms, became passive, counted as a candidate again and took the place back, since the order of candidates is fixed. With the store silent for a third of the gateways a region stayed at 2 or 3 readers of 4, and the silent ones were without updates from peers for most of the time, as an active watch takes none. Now a gateway that gave up reading says so in its heartbeats for 5 s, and is then chosen only if no other is left. Gateways of the build before do not send the field and count as before. Test first: unit_readers failed_readers_leave_their_place, 2 readers of 4 before (mutant readers_forget_failed).

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -133,6 +133,7 @@
 	msg->draining = g->draining;
 	msg->store_ok = watch_store_ok(g->watch);
 	msg->reads = !watch_is_passive(g->watch);
+	msg->read_failed = gateway_read_failed(g, clk_now());
 	msg->store_ms = (uint32_t)watch_store_latency(g->watch);
 	msg->cpu_millis = g->settings.cpu_millis;
 	msg->store_age_ms = (uint32_t)(clk_now() - watch_last_answer(g->watch));
@@ -267,6 +268,7 @@
 	if (p->reads != msg->reads)
 		p->reader_changed_at = p->heartbeat_received;
 	p->reads = msg->reads;
+	p->read_failed = msg->read_failed;
 	p->n_manages = 0;
 	for (size_t i = 0; i < msg->n_keeper && p->n_manages < GATEWAY_MAX_MANAGED; i++) {
 		struct gateway_service *s = gateway_keyed_service(g, msg->keeper[i]->service);
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -62,6 +62,7 @@
 	uint32_t cpu_millis;	   /* CPU time that the peer may use, 1/1000 core */
 	bool reads;		   /* the peer is a store reader */
 	clk_ms reader_changed_at;  /* arrival of the heartbeat that changed `reads` last */
+	bool read_failed;	   /* see reader_info.failed */
 	clk_ms store_answered_at;  /* when the store last answered the peer, by the local clock */
 	size_t n_manages;	   /* length of `manages` */
 	struct {
@@ -173,6 +174,7 @@
 	struct timer map_timer; /* sends changed owners of keys to the peers */
 	clk_ms started;
 	clk_ms reader_changed_at; /* when this gateway last became or ceased to be a reader */
+	clk_ms read_failed_at;	  /* when it ceased to read without an answer, or 0 */
 	struct gateway_link links[GATEWAY_MAX_LINKS];
 	size_t n_links;
 	clk_ms settings_checked_at; /* last comparison of the settings file's modification time */
@@ -295,6 +297,8 @@
 
 /* gateway_table.c */
 /* Decides whether this gateway is a store reader or passive. */
+/* See reader_info.failed. */
+bool gateway_read_failed(const struct gateway *g, clk_ms now);
 void gateway_choose_readers(struct gateway *g, clk_ms now);
 /* Caches rows for the peers; a reader also sends them to the passive peers assigned to it. */
 void gateway_cache_rows(struct gateway *g, enum meta_table table, bool whole, bool recovered,
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -60,6 +60,11 @@
 
 /* ---- choice of readers ---------------------------------------------------------------------- */
 
+bool gateway_read_failed(const struct gateway *g, clk_ms now)
+{
+	return g->read_failed_at && now - g->read_failed_at < READERS_RETRY_MS;
+}
+
 /* Chooses the readers of this region by the last heartbeats; the caller frees `nodes`. */
 static struct readers list_readers(const struct gateway *g, clk_ms now)
 {
@@ -81,6 +86,7 @@
 			.reads = !watch_is_passive(g->watch),
 			.answer_age = now - watch_last_answer(g->watch),
 			.reading_ms = now - g->reader_changed_at,
+			.failed = gateway_read_failed(g, now),
 		};
 	for (p = g->peer_states; p; p = p->hh.next) {
 		if (!p->hub || p->draining || p->cpu_millis < min_cpu ||
@@ -94,6 +100,7 @@
 						     ? p->store_answered_at
 						     : 0),
 			.reading_ms = now - p->reader_changed_at,
+			.failed = p->read_failed,
 		};
 	}
 	readers_choose(&r, infos, n);
@@ -138,6 +145,8 @@
 	if (passive == watch_is_passive(g->watch))
 		return;
 	ctr_inc(&ctr_role_changes);
+	if (passive)
+		g->read_failed_at = watch_last_answer(g->watch) < g->reader_changed_at ? now : 0;
 	g->reader_changed_at = now;
 	log_info(&log, "%s, %zu readers have a recent answer of the store",
 		 passive ? "receiving tables from readers" : "following the store", good);
--- a/src/process/readers.c
+++ b/src/process/readers.c
@@ -9,17 +9,20 @@
 #define READER_WEIGHT_SEED 0x7265616465727331ULL
 
 enum reader_state {
-	READER_TRUSTED,	  /* reads, and the store answered it recently */
-	READER_CANDIDATE, /* does not read, or started too recently to judge */
-	READER_UNANSWERED /* reads without a recent answer of the store */
+	READER_TRUSTED,	   /* reads, and the store answered it recently */
+	READER_CANDIDATE,  /* does not read, or started too recently to judge */
+	READER_UNANSWERED, /* reads without a recent answer of the store */
+	READER_FAILED	   /* does not read, since it got no answer */
 };
 
 static enum reader_state state_of(const struct reader_info *p)
 {
 	if (p->reads && p->answer_age < READERS_ANSWER_VALID_MS)
 		return READER_TRUSTED;
-	return p->reads && p->reading_ms >= READERS_FIRST_ANSWER_MS ? READER_UNANSWERED
-								    : READER_CANDIDATE;
+	if (p->reads)
+		return p->reading_ms >= READERS_FIRST_ANSWER_MS ? READER_UNANSWERED
+								: READER_CANDIDATE;
+	return p->failed && !MUTANT(readers_forget_failed) ? READER_FAILED : READER_CANDIDATE;
 }
 
 /* Orders gateways by a pseudo-random weight that is the same on all gateways. */
@@ -31,16 +34,22 @@
 	return x > y ? -1 : x < y;
 }
 
-/* Adds up to `max` gateways in the given state to the readers, in the order of their weight. */
-static void add_gateways(struct readers *out, const struct reader_info *peers, size_t n,
-			 enum reader_state state, size_t max)
+/*
+ * Adds up to `max` gateways in the given state to the readers, in the order of their weight.
+ * Returns how many.
+ */
+static size_t add_gateways(struct readers *out, const struct reader_info *peers, size_t n,
+			   enum reader_state state, size_t max)
 {
-	for (size_t i = 0; i < n && max; i++) {
+	size_t added = 0;
+
+	for (size_t i = 0; i < n && added < max; i++) {
 		if (state_of(&peers[i]) != state)
 			continue;
 		out->nodes[out->n++] = peers[i].node;
-		max--;
+		added++;
 	}
+	return added;
 }
 
 void readers_choose(struct readers *out, struct reader_info *peers, size_t n)
@@ -60,7 +69,9 @@
 		more = unanswered;
 	if (!out->good && MUTANT(readers_all_at_once))
 		more = n;
-	add_gateways(out, peers, n, READER_CANDIDATE, more);
+	more -= add_gateways(out, peers, n, READER_CANDIDATE, more);
+	if (!out->good)
+		add_gateways(out, peers, n, READER_FAILED, more);
 }
 
 bool readers_has(const struct readers *r, uint64_t node)
--- a/src/process/readers.h
+++ b/src/process/readers.h
@@ -3,7 +3,8 @@
  * changes on to the others. Every gateway makes the choice for itself, with the same pure
  * functions.
  *
- * A reader to which the store has not answered in time is replaced by another gateway. If none of
+ * A reader to which the store has not answered in time is replaced by another gateway, and is not
+ * chosen again for some time: the store may refuse just this gateway. If none of
  * them gets answers, the link to the store may be full or the store slow, and a table that all
  * gateways read at once would make that worse. So further gateways start to read in waves, each as
  * large as all before it together. If the store refuses only some gateways, a few waves find one
@@ -29,6 +30,8 @@
 #define READERS_ANSWER_VALID_MS 1600
 /* A new reader has this long to get its first answer before further gateways start to read. */
 #define READERS_FIRST_ANSWER_MS 500
+/* A gateway that gave up reading without an answer is not chosen again for this long. */
+#define READERS_RETRY_MS 5000
 
 /* What is known of a gateway of the region. */
 struct reader_info {
@@ -36,6 +39,7 @@
 	bool reads;	   /* the gateway calls the store itself */
 	clk_ms answer_age; /* time since the store last answered the gateway */
 	clk_ms reading_ms; /* time since the gateway started to read */
+	bool failed;	   /* gave up reading less than READERS_RETRY_MS ago, without an answer */
 };
 
 struct readers {
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6287,7 +6287,7 @@
   (ProtobufCMessageInit) bc__keeper_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[12] =
 {
   {
     "draining",
@@ -6421,6 +6421,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_failed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, read_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__pulse__field_indices_by_name[] = {
   3,   /* field[3] = config_row */
@@ -6428,6 +6440,7 @@
   0,   /* field[0] = draining */
   9,   /* field[9] = interval_ms */
   2,   /* field[2] = keeper */
+  11,   /* field[11] = read_failed */
   8,   /* field[8] = reads */
   10,   /* field[10] = routers_row */
   7,   /* field[7] = store_age_ms */
@@ -6438,7 +6451,7 @@
 static const ProtobufCIntRange bc__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bc__pulse__descriptor =
 {
@@ -6448,7 +6461,7 @@
   "Bc__Pulse",
   "bc",
   sizeof(Bc__Pulse),
-  11,
+  12,
   bc__pulse__field_descriptors,
   bc__pulse__field_indices_by_name,
   1,  bc__pulse__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -960,10 +960,14 @@
    * newest row of the table of gateways, as config_row
    */
   uint64_t routers_row;
+  /*
+   * gave up following the store lately, as it got no answer
+   */
+  protobuf_c_boolean read_failed;
 };
 #define BC__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__pulse__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/unit_readers.c
+++ b/test/unit_readers.c
@@ -15,12 +15,14 @@
 	struct reader_info info[GATEWAYS];
 	clk_ms answered[GATEWAYS];
 	clk_ms began[GATEWAYS];
-	bool refused[GATEWAYS]; /* the store does not answer the gateway */
-	bool slow;		/* the store answers no gateway in time */
+	clk_ms failed[GATEWAYS]; /* when the gateway ceased to read without an answer */
+	bool refused[GATEWAYS];	 /* the store does not answer the gateway */
+	bool slow;		 /* the store answers no gateway in time */
 	clk_ms now;
 	struct readers readers;
 	uint64_t nodes[GATEWAYS];
 	size_t begun; /* number of gateways that started to read in this step */
+	size_t begun_by[GATEWAYS];
 };
 
 static struct reader_info *find(struct sim *s, uint64_t node)
@@ -43,6 +45,7 @@
 			s->answered[i] = s->now;
 		s->info[i].answer_age = s->now - s->answered[i];
 		s->info[i].reading_ms = s->now - s->began[i];
+		s->info[i].failed = s->failed[i] && s->now - s->failed[i] < READERS_RETRY_MS;
 	}
 	memcpy(view, s->info, sizeof(view));
 	s->readers.nodes = s->nodes;
@@ -55,11 +58,14 @@
 		p->reads = true;
 		s->began[p - s->info] = s->now;
 		s->begun++;
+		s->begun_by[p - s->info]++;
 	}
 	for (size_t i = 0; i < GATEWAYS; i++) {
-		if (s->info[i].reads && s->readers.good >= 2 &&
-		    !readers_has(&s->readers, s->info[i].node))
-			s->info[i].reads = false;
+		if (!s->info[i].reads || s->readers.good < 2 ||
+		    readers_has(&s->readers, s->info[i].node))
+			continue;
+		s->info[i].reads = false;
+		s->failed[i] = s->answered[i] < s->began[i] ? s->now : 0;
 	}
 }
 
@@ -116,6 +122,28 @@
 }
 END_TEST
 
+/*
+ * The store is silent for two readers and two thirds of the other gateways. Guards against
+ * gateways without an answer that take the places of others again and again, so that the region
+ * has fewer readers than it should for as long as the store is silent.
+ */
+START_TEST(failed_readers_leave_their_place)
+{
+	static struct sim s;
+
+	start(&s);
+	for (size_t i = 0; i < GATEWAYS; i++)
+		s.refused[i] = i % 3 != 0 && !readers_has(&s.readers, s.info[i].node);
+	s.refused[find(&s, s.readers.nodes[0]) - s.info] = true;
+	s.refused[find(&s, s.readers.nodes[1]) - s.info] = true;
+	for (clk_ms t = 0; t <= READERS_RETRY_MS; t += STEP_MS)
+		step(&s);
+	ck_assert_uint_eq(s.readers.good, READERS_PER_REGION);
+	for (size_t i = 0; i < GATEWAYS; i++)
+		ck_assert_uint_le(s.begun_by[i], 1);
+}
+END_TEST
+
 /*
  * Guards against all gateways of a region reading the same large table at once when the store is
  * slow, which fills the link to the store. This happened after a large configuration was written.
@@ -159,7 +187,7 @@
 /* Guards against trusting a reader that the store has not answered yet. */
 START_TEST(new_reader_is_not_trusted)
 {
-	struct reader_info p = {1, true, READERS_ANSWER_VALID_MS, 0};
+	struct reader_info p = {1, true, READERS_ANSWER_VALID_MS, 0, false};
 	uint64_t node;
 	struct readers r = {.nodes = &node};
 
@@ -173,7 +201,7 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"readers_all_at_once", NULL};
+static const char *const mutants[] = {"readers_all_at_once", "readers_forget_failed", NULL};
 
 /*
  * The store stops answering a third of the gateways, as happened when a configuration was written
@@ -209,6 +237,7 @@
 	tcase_add_test(tc, few_gateways_read);
 	tcase_add_test(tc, a_third_without_store_rarely_takes_all_readers);
 	tcase_add_test(tc, late_reader_is_replaced);
+	tcase_add_test(tc, failed_readers_leave_their_place);
 	tcase_add_test(tc, slow_store_is_not_overloaded);
 	tcase_add_test(tc, only_answered_gateway_is_found);
 	tcase_add_test(tc, new_reader_is_not_trusted);
