catchup: rows that a peer has are requested although other peers miss them

Cause: a passive gateway counted as behind only while each heartbeat came from a peer with newer rows; a heartbeat of a peer that missed the same rows set the time back. With the store silent for a third of the gateways, the reader that should have sent a new configuration was silent to it but still trusted, one of the twelve hubs of the region had the configuration, and the other eleven reset the 500 ms every few ms. Changes of upstreams that did arrive reset it as well.

Now catchup.c decides, for each table, without I/O; a gateway that gave up reading requests what it missed at once.

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -214,40 +214,38 @@
 	arena_free(&arena);
 }
 
-/* Whether the peer has newer rows of a table than this gateway. */
-static bool has_newer_rows(const struct gateway *g, const Bc__Pulse *msg)
-{
-	return msg->config_row > watch_newest_row(g->watch, META_CONFIG) ||
-	       msg->upstreams_row > watch_newest_row(g->watch, META_UPSTREAMS) ||
-	       msg->routers_row > watch_newest_row(g->watch, META_ROUTERS);
-}
-
 /*
  * Returns how long newer rows of a peer may be missing until they are requested from it: a reader
- * sends them by itself soon after it has them. Peers of other regions come last, since the tables
- * would cross the link between the regions.
+ * sends them by itself soon after it has them, but not while this gateway reads, so that one that
+ * just gave up may have missed some. Peers of other regions come last, since the tables would cross
+ * the link between the regions.
  */
-static clk_ms catch_up_wait(const struct gateway *g, const struct gateway_peer *p)
+static clk_ms catch_up_wait(const struct gateway *g, const struct gateway_peer *p, clk_ms now)
 {
 	bool known = g->topo && g->have_upstreams;
 
 	if (!gateway_in_same_region(g, p))
 		return BEHIND_REMOTE_MS;
-	return known ? BEHIND_PEER_MS : 0;
+	return known && !gateway_read_failed(g, now) ? BEHIND_PEER_MS : 0;
 }
 
 /* Requests rows that a peer has newer, while the store does not answer this gateway. */
 static void catch_up(struct gateway *g, const struct gateway_peer *p, const Bc__Pulse *msg)
 {
+	const struct catchup_report reports[] = {
+		{META_CONFIG, watch_version(g->watch, META_CONFIG), msg->config_row},
+		{META_UPSTREAMS, watch_version(g->watch, META_UPSTREAMS), msg->upstreams_row},
+		{META_ROUTERS, watch_version(g->watch, META_ROUTERS), msg->routers_row},
+	};
 	clk_ms now = clk_now();
+	clk_ms wait = catch_up_wait(g, p, now);
+	bool behind = false;
 
-	if (watch_store_ok(g->watch) || !has_newer_rows(g, msg)) {
-		g->behind_since = 0;
+	if (watch_store_ok(g->watch))
 		return;
-	}
-	if (!g->behind_since)
-		g->behind_since = now;
-	if (now - g->behind_since >= catch_up_wait(g, p))
+	for (size_t i = 0; i < sizeof(reports) / sizeof(reports[0]); i++)
+		behind |= catchup_heard(&g->catchup, &reports[i], wait, now);
+	if (behind)
 		gateway_request_copies(g, p->node, now);
 }
 
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -18,6 +18,7 @@
 #include "connection/ingress.h"
 #include "connection/peer.h"
 #include "connection/timer.h"
+#include "process/catchup.h"
 #include "process/fleet.h"
 #include "process/gateway.h"
 #include "process/hubs.h"
@@ -165,8 +166,8 @@
 	uint64_t rows_history_start[META_TABLES];
 	clk_ms copies_requested_at; /* last request to a peer for copies of tables */
 	unsigned copies_requests;   /* such requests since a copy was applied last */
-	clk_ms behind_since;	    /* since when a peer has newer rows, 0: none has */
-	clk_ms readers_seen;	    /* when a reader with a recent answer was known last */
+	struct catchup catchup;
+	clk_ms readers_seen; /* when a reader with a recent answer was known last */
 	struct gateway_peer *peer_states;
 
 	struct timer tick;
--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -385,6 +385,7 @@
 	for (size_t i = 0; i < a->n_rows; i++)
 		row_put(g, table, &a->rows[i]);
 	g->rows_version[table] = a->version;
+	catchup_updated(&g->catchup, table);
 	/* Rows deleted before the first read are not known, so the history starts there. */
 	if (!g->rows_history_start[table])
 		g->rows_history_start[table] = a->version;
