platform: unexpected answers to a commit, wrong members of services, changed failure domains

Now only a 4xx proves that a commit was refused; a wrong member fails the document with its name; the change is reported. Tests, which failed first: unit_platstore (new; also answers with members of other types, none of which ended the process), unit_plat, unit_fleet.

--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -88,7 +88,9 @@
 	struct fleet_upstream *u = fleet_find(f, num);
 	bool is_new = !u || !same_process(u, info);
 	bool changed = is_new || u->draining != info->draining || u->slots != info->slots ||
-		       u->removed_at != CLK_NEVER || (now < u->cold_until) != (info->cold_left > 0);
+		       u->removed_at != CLK_NEVER ||
+		       !str_eq_cstr(info->failure_domain, u->failure_domain) ||
+		       (now < u->cold_until) != (info->cold_left > 0);
 
 	if (!u) {
 		u = calloc(1, sizeof(*u));
--- a/test/unit_fleet.c
+++ b/test/unit_fleet.c
@@ -60,6 +60,23 @@
 }
 END_TEST
 
+/*
+ * Guards against an upstream whose new failure domain nobody learns: its place, its region and
+ * whether it is evacuated follow from it.
+ */
+START_TEST(changed_failure_domain_is_a_change)
+{
+	struct fleet *f = setup();
+	struct fleet_info i = info("a", "d1", 1);
+
+	ck_assert(fleet_put(f, 10, &i));
+	ck_assert(!fleet_put(f, 20, &i));
+	i.failure_domain = STR_LIT("d2");
+	ck_assert(fleet_put(f, 30, &i));
+	fleet_destroy(f);
+}
+END_TEST
+
 /*
  * A registration that lapsed while the store did not answer is removed at a later time. Guards
  * against loss of the upstream before that time, or although it has registered again.
@@ -158,6 +175,7 @@
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, draining_upstream_gets_nothing);
+	tcase_add_test(tc, changed_failure_domain_is_a_change);
 	tcase_add_test(tc, removal_takes_effect_at_its_time);
 	tcase_add_test(tc, full_read_removes_missing_upstreams);
 	tcase_add_test(tc, new_start_time_is_a_new_process);
--- a/test/unit_plat.c
+++ b/test/unit_plat.c
@@ -187,6 +187,9 @@
 		{"\"service\":\"wuno\",\"max", "\"service\":\"nobody\",\"max", "service"},
 		{"\"max-connections\":120,\"warmup\"", "\"warmup\"", "max-connections"},
 		{"\"weight\":90", "\"weight\":\"x\"", "weight"},
+		{"\"warmup-per-s\":2.5", "\"warmup-per-s\":\"2\"", "warmup-per-s"},
+		{"\"warmup-per-s\":2.5", "\"warmup-per-s\":-1", "warmup-per-s"},
+		{"\"shard-enabled\":true", "\"shard-enabled\":1", "shard-enabled"},
 		{"\"path-routes\":[", "\"path-routes\":7,\"x\":[", "path-routes"},
 		{"\"services\":[{", "\"services\":[", "JSON"},
 	};
--- /dev/null
+++ b/test/unit_platstore.c
@@ -0,0 +1,173 @@
+/* Tests of the adapter to the platform's store, against a server that answers as the test says. */
+#include <stdlib.h>
+
+#include "connection/ingress.h"
+#include "platform/plat.h"
+#include "test/unit.h"
+#include "test/unit_loop.h"
+
+#define IP "127.0.0.9"
+
+struct fixture {
+	h2o_loop_t *loop;
+	struct ingress *server;
+	struct meta *meta;
+	int status;	  /* of the server's answers */
+	const char *body; /* the same */
+	bool answered;
+	enum meta_status result;
+};
+
+static void on_request(void *data, struct ingress_request *req)
+{
+	struct fixture *f = data;
+
+	ingress_reply(req, f->status, NULL, 0, str_from(f->body), false);
+	ingress_request_free(req);
+}
+
+static void on_caller_closed(void *data, struct ingress_request *req)
+{
+	ingress_request_free(req);
+}
+
+static const struct ingress_limits *limits(void *data)
+{
+	static const struct ingress_limits l = {
+		.max_header_bytes = 4096,
+		.max_body_bytes = 4096,
+		.header_timeout = 2000,
+		.idle_timeout = 4000,
+	};
+
+	return &l;
+}
+
+static void setup(struct fixture *f)
+{
+	static const struct ingress_handlers handlers = {on_request, on_caller_closed, limits};
+	struct err err = {0};
+	uint32_t port;
+
+	memset(f, 0, sizeof(*f));
+	f->loop = h2o_evloop_create();
+	port = unit_free_port(IP);
+	f->server = ingress_create(f->loop, IP, port, &handlers, f, &err);
+	ck_assert_msg(f->server != NULL, "%s", err.msg);
+	f->meta = plat_store.open(f->loop, IP, port);
+}
+
+static void teardown(struct fixture *f)
+{
+	plat_store.close(f->meta);
+	ingress_destroy(f->server);
+	timer_destroy_loop(f->loop);
+}
+
+static void on_answer(void *data, const struct meta_answer *a)
+{
+	struct fixture *f = data;
+
+	f->answered = true;
+	f->result = a->status;
+}
+
+static bool is_answered(void *data)
+{
+	return ((struct fixture *)data)->answered;
+}
+
+/* Returns the outcome of a call that the server answers with this status and body. */
+static enum meta_status call(struct fixture *f, bool commit, int status, const char *body)
+{
+	static const struct meta_change change = {
+		.key = {"k", 1}, .write = true, .value = {"v", 1}};
+
+	f->status = status;
+	f->body = body;
+	f->answered = false;
+	if (commit)
+		plat_store.commit(f->meta, META_KEYS, &change, 1, on_answer, f);
+	else
+		plat_store.read(f->meta, META_KEYS, on_answer, f);
+	ck_assert(unit_run_until(f->loop, is_answered, f));
+	return f->result;
+}
+
+/*
+ * Guards against a transaction that was carried out but counts as refused: its writer would act as
+ * if nothing had changed, for example without the fencing tokens that it has reserved.
+ */
+START_TEST(unexpected_answers_to_a_commit_prove_nothing)
+{
+	static struct fixture f;
+
+	setup(&f);
+	ck_assert_int_eq(call(&f, true, 200, "{\"ver\":7}"), META_OK);
+	ck_assert_int_eq(call(&f, true, 412, "{\"ver\":7}"), META_CONFLICT);
+	ck_assert_int_eq(call(&f, true, 429, "{}"), META_REFUSED);
+	ck_assert_int_eq(call(&f, true, 503, "{}"), META_REFUSED);
+	ck_assert_int_eq(call(&f, true, 400, "{}"), META_REFUSED);
+	ck_assert_int_eq(call(&f, true, 500, "{}"), META_UNKNOWN);
+	ck_assert_int_eq(call(&f, true, 502, "{}"), META_UNKNOWN);
+	ck_assert_int_eq(call(&f, true, 504, "{}"), META_UNKNOWN);
+	ck_assert_int_eq(call(&f, true, 202, "{}"), META_UNKNOWN);
+	ck_assert_int_eq(call(&f, true, 200, "garbage"), META_UNKNOWN);
+	ck_assert_int_eq(call(&f, false, 500, "{}"), META_REFUSED);
+	ck_assert_int_eq(call(&f, false, 410, "{}"), META_TRIMMED);
+	teardown(&f);
+}
+END_TEST
+
+/*
+ * Guards against answers with members of other types, or without members, that end the process or
+ * pass for rows.
+ */
+START_TEST(malformed_answers_are_refused)
+{
+	static const char *const bad[] = {
+		"",
+		"null",
+		"7",
+		"[]",
+		"{",
+		"\"rows\"",
+		"{\"rows\":[7]}",
+		"{\"rows\":[{}]}",
+		"{\"rows\":[{\"key\":7,\"ver\":1}]}",
+		"{\"rows\":[null]}",
+	};
+	static const char *const odd[] = {
+		"{\"rows\":7}",
+		"{\"ver\":\"x\"}",
+		"{\"rows\":null,\"ver\":null}",
+		"{}",
+		"{\"rows\":[{\"key\":\"k\"}]}",
+		"{\"rows\":[{\"key\":\"k\",\"value\":7}]}",
+		"{\"rows\":[{\"key\":\"\",\"value\":\"%%%\",\"ver\":-1}]}",
+		"{\"rows\":[{\"key\":\"k\",\"value\":\"====\",\"ver\":1e99}]}",
+	};
+	static struct fixture f;
+
+	setup(&f);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		ck_assert_msg(call(&f, false, 200, bad[i]) == META_REFUSED, "%s", bad[i]);
+	/* Any outcome is allowed, a crash is not. */
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		call(&f, false, 200, odd[i]);
+	teardown(&f);
+}
+END_TEST
+
+static const char *const mutants[] = {NULL};
+
+static void add_tests(TCase *tc)
+{
+	tcase_add_test(tc, unexpected_answers_to_a_commit_prove_nothing);
+	tcase_add_test(tc, malformed_answers_are_refused);
+}
+
+int main(int argc, char **argv)
+{
+	return unit_main(argc, argv, "platstore", mutants, add_tests);
+}
