--- a/src/process/gateway_table.c
+++ b/src/process/gateway_table.c
@@ -16,6 +16,7 @@
 #include "base/backoff.h"
 #include "base/ctr.h"
 #include "base/log.h"
+#include "base/mutant.h"
 #include "base/rnd.h"
 
 /*
@@ -458,6 +459,8 @@
 			log_error(&log,
 				  "cannot decompress row %s from a peer; the table copy is ignored",
 				  row->key);
+			if (MUTANT(table_copy_abort))
+				abort();
 			goto out;
 		}
 		rows[i] = (struct meta_row){
