--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -34,6 +34,7 @@
 # A shorter overlap of two leases is no violation: the times in the ledgers are not more precise.
 OVERLAP_MS = 20
 RECOVERY_S = 30  # limit until all requests are served again after the last fault
+ANSWER_FAULT_SHARE = 0.35  # of the steps that inject faults
 
 
 def now_ms():
@@ -94,6 +95,8 @@
         self.stopping = threading.Event()  # set: callers send no further requests
         self.version = 5  # of the next configuration
         self.events = []  # (time, text): injected faults
+        # Of its own, so that a seed gives the other faults that it gave before these were added.
+        self.answer_rng = random.Random(options.seed + 1000003)
 
     # ---- deployment ----
 
@@ -348,6 +351,15 @@
             self.post(self.upstreams[upstream]["control"], "/control",
                       json.dumps({kind.replace("-", "_"): r.randrange(1, 4)}))
 
+    def inject_answer_fault(self):
+        """Makes the link to a random upstream deliver answers twice, or endless ones, for a time."""
+        r = self.answer_rng
+        name, mode = r.choice(sorted(self.upstreams)), r.choice(["copy", "copy", "endless"])
+        duration_s = r.choice([0.7, 1.5, 3.0])
+        self.log_event("%s answers of %s %.1f s" % (mode, name, duration_s))
+        self.proxies[name].start_fault(mode)
+        self.schedule(duration_s, self.proxies[name].end_fault)
+
     def try_fault(self):
         try:
             self.inject_fault()
@@ -504,6 +516,8 @@
         while time.time() < end:
             for _ in range(self.rng.choice([1, 1, 1, 2, 3])):
                 self.try_fault()
+            if self.answer_rng.random() < ANSWER_FAULT_SHARE:
+                self.inject_answer_fault()
             time.sleep(self.rng.choice([0.1, 0.5, 1.0, 2.0]))
         self.end_all_faults()
         time.sleep(1)
