--- a/test/scripts/fuzz.sh
+++ b/test/scripts/fuzz.sh
@@ -1,8 +1,8 @@
 #!/bin/bash
 # A gateway gets malformed and extreme input from every side: peers, callers, rows of the store and
-# answers of an upstream, drawn from a fixed seed. Guards against a message that ends the process, and
-# against one after which valid input is no longer served, such as a stranger's claim to own all keys. FUZZ_SEED and FUZZ_COUNT set the seed and the
-# number of messages of each kind.
+# answers of an upstream, drawn from a fixed seed. Guards against a message that ends the process,
+# and against one after which valid input is no longer served, such as a stranger's claim to own all
+# keys. FUZZ_SEED and FUZZ_COUNT set the seed and the number of messages of each kind.
 # mutants: table_copy_abort gateway_trust_strangers
 # shellcheck source=test/scripts/gateway_lib.sh
 . "$(dirname "$0")/gateway_lib.sh"
