--- a/test/scripts/fuzz_sender.py
+++ b/test/scripts/fuzz_sender.py
@@ -6,7 +6,8 @@
                                     that an upstream that does not exist owns all of them
 callers SEED COUNT IP:PORT          damaged HTTP requests
 rows SEED COUNT IP:PORT TABLE KEY   damaged forms of the row on standard input, to the store's control
-upstream SEED IP                    serves HTTP on the port that it prints; half of the answers are damaged
+upstream SEED IP                    serves HTTP on the port that it prints until standard input ends; half of
+                                    the answers are damaged
 """
 import random
 import re
@@ -231,8 +232,12 @@
             except OSError:
                 pass
 
-    while True:
-        threading.Thread(target=handle, args=(listener.accept()[0],), daemon=True).start()
+    def accept():
+        while True:
+            threading.Thread(target=handle, args=(listener.accept()[0],), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+    sys.stdin.read()  # until the script ends
 
 
 def main():
