--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -261,10 +261,10 @@
 	HASH_FIND_STR(g->members, p->name, m);
 	if (m || !g->members_known || MUTANT(gateway_trust_strangers))
 		return true;
-	if (!p->reported)
+	if (!p->stranger_logged)
 		log_warn(&log, "peer %s is not registered; its maps, rows and roles are not used",
 			 p->name);
-	p->reported = true;
+	p->stranger_logged = true;
 	return false;
 }
 
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -54,7 +54,7 @@
 	char name[FLEET_NAME_BYTES];
 	char region[FLEET_NAME_BYTES];
 	bool hub;	       /* see hubs.h */
-	bool reported;	       /* the log says that it is not registered */
+	bool stranger_logged;  /* the log says that it is not registered */
 	clk_ms heartbeat_sent; /* when the last heartbeat was sent to it */
 	clk_ms silent_until;   /* no slot requests until then: it did not answer, 0: none */
 	bool draining;
