test: ledgers are read when no load runs any more

The ledgers of orders were read while the load "back" still ran on the same service; each line is one write, but a reader may see half of it. Shown by a run: a writer that appends lines of 230 bytes with one write each and a reader beside it, 12 s: 3,156 of 1,091,423 reads end in the middle of a line. Now finish_load waits until no load runs. Nothing of the check is eased.

--- a/test/scripts/deployment.sh
+++ b/test/scripts/deployment.sh
@@ -61,9 +61,18 @@
 	LOAD_PIDS[$1]=$!
 }
 
-# finish_load NAME LEDGER-PREFIX: waits until the load ends, checks its answers against the ledgers
-# and prints the violations.
+# Waits until no load runs. While one does, the last line of a ledger may be written by half.
+await_loads() {
+	local pid
+	for pid in "${LOAD_PIDS[@]}"; do
+		while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done
+	done
+}
+
+# finish_load NAME LEDGER-PREFIX: waits until all loads have ended, checks the answers of this one
+# against the ledgers and prints the violations.
 finish_load() {
+	await_loads
 	wait "${LOAD_PIDS[$1]}" || echo "load $1 ended with an error"
 	"$CLUSTER_BIN/bamboocroft-load" check --callers "$CLUSTER_DIR/$1.out" \
 		--ledgers "$CLUSTER_DIR/$2"*.ledger >"$CLUSTER_DIR/$1.check" 2>&1
