gateway, forward: what the retry budget decided and what it does not count

Logs and metrics could not tell a budget that is too large from attempts that it does not count, nor which number of gateways divided the slack.

A line names retries, allowed, requests and gateways when a retry is refused (at most one a second and service); counters for attempts made again without a charge (forward_unreached_total) and for answers of another instance (forward_other_instance_total). No decision changes; unit_budget passes.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -35,6 +35,8 @@
 #define ANSWER_MEMORY_DIVISOR 3
 /* How long crashes of upstreams count towards the quarantine of a request. */
 #define CRASH_WINDOW_MS (10 * 60 * 1000)
+/* Log lines about the used up retry budget of one service come at most this often. */
+#define RETRY_LOG_INTERVAL_MS 1000
 /* Longest wait of one iteration of the event loop; log lines are written at least this often. */
 #define LOOP_WAIT_MS 200
 
@@ -138,12 +140,31 @@
 	retry_note_request(&gateway_service(g, service)->retry, &o, clk_now());
 }
 
+static void log_retry_refusal(struct gateway_service *s, const struct retry_options *o, clk_ms now)
+{
+	struct retry_usage u = retry_usage(&s->retry, o, now);
+
+	if (s->retry_refusal_logged && now - s->retry_refusal_logged < RETRY_LOG_INTERVAL_MS)
+		return;
+	s->retry_refusal_logged = now;
+	log_info(
+		&log,
+		"retry budget of %s is used up: retries=%u allowed=%.1f requests=%u window_ms=%lld "
+		"gateways=%u",
+		s->name, u.retries, u.allowed, u.requests, (long long)o->window, o->gateways);
+}
+
 static bool take_retry(void *data, struct str service)
 {
 	struct gateway *g = data;
+	struct gateway_service *s = gateway_service(g, service);
 	struct retry_options o = retry_options(g);
+	clk_ms now = clk_now();
 
-	return retry_take(&gateway_service(g, service)->retry, &o, clk_now());
+	if (retry_take(&s->retry, &o, now))
+		return true;
+	log_retry_refusal(s, &o, now);
+	return false;
 }
 
 static void on_crash(void *data, uint64_t fingerprint, uint64_t upstream)
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -79,6 +79,7 @@
 	uint64_t id; /* hash of the name */
 	char name[FLEET_NAME_BYTES];
 	struct retry retry;
+	clk_ms retry_refusal_logged; /* last log line about a used up retry budget */
 	struct shardmgr *shardmgr; /* shard management of a keyed service, NULL for others */
 	/* Start of the wait before the next attempt to become shard manager, 0: no wait. */
 	clk_ms no_shardmgr_since;
--- a/src/process/retry.c
+++ b/src/process/retry.c
@@ -5,10 +5,14 @@
 /* Share of the budget that is used; the rest is a reserve, as gateways' windows are not aligned. */
 #define USED_SHARE 0.7
 
+static clk_ms bucket_width(const struct retry_options *o)
+{
+	return o->window / RETRY_BUCKETS > 0 ? o->window / RETRY_BUCKETS : 1;
+}
+
 static struct retry_bucket *bucket_at(struct retry *r, const struct retry_options *o, clk_ms now)
 {
-	clk_ms width = o->window / RETRY_BUCKETS > 0 ? o->window / RETRY_BUCKETS : 1;
-	int64_t number = now / width;
+	int64_t number = now / bucket_width(o);
 	struct retry_bucket *b = &r->buckets[number % RETRY_BUCKETS];
 
 	if (b->number != number)
@@ -21,25 +25,30 @@
 	bucket_at(r, o, now)->requests++;
 }
 
-bool retry_take(struct retry *r, const struct retry_options *o, clk_ms now)
+struct retry_usage retry_usage(const struct retry *r, const struct retry_options *o, clk_ms now)
 {
-	struct retry_bucket *present = bucket_at(r, o, now);
-	double requests = 0;
-	double retries = 1;
-	double allowed;
+	int64_t present = now / bucket_width(o);
+	struct retry_usage u = {0};
 
 	for (int i = 0; i < RETRY_BUCKETS; i++) {
 		const struct retry_bucket *b = &r->buckets[i];
 
-		if (present->number - b->number >= RETRY_BUCKETS)
+		if (present - b->number >= RETRY_BUCKETS)
 			continue;
-		requests += b->requests;
-		retries += b->retries;
+		u.requests += b->requests;
+		u.retries += b->retries;
 	}
-	allowed = USED_SHARE *
-		  (o->ratio * requests + (double)o->slack / (o->gateways ? o->gateways : 1));
-	if (retries > allowed && !MUTANT(retry_no_budget))
+	u.allowed = USED_SHARE *
+		    (o->ratio * u.requests + (double)o->slack / (o->gateways ? o->gateways : 1));
+	return u;
+}
+
+bool retry_take(struct retry *r, const struct retry_options *o, clk_ms now)
+{
+	struct retry_usage u = retry_usage(r, o, now);
+
+	if (u.retries + 1 > u.allowed && !MUTANT(retry_no_budget))
 		return false;
-	present->retries++;
+	bucket_at(r, o, now)->retries++;
 	return true;
 }
--- a/src/process/retry.h
+++ b/src/process/retry.h
@@ -32,9 +32,17 @@
 	struct retry_bucket buckets[RETRY_BUCKETS];
 };
 
+/* Use of the budget at one moment, for the log. */
+struct retry_usage {
+	uint32_t requests; /* counted in the window */
+	uint32_t retries;
+	double allowed; /* retries that this gateway may take in the window */
+};
+
 /* Counts a request. */
 void retry_note_request(struct retry *r, const struct retry_options *o, clk_ms now);
 /* Takes one retry from the budget; returns false if it is used up. */
 bool retry_take(struct retry *r, const struct retry_options *o, clk_ms now);
+struct retry_usage retry_usage(const struct retry *r, const struct retry_options *o, clk_ms now);
 
 #endif
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -39,6 +39,10 @@
 CTR(ctr_failed, "forward_unknown_total", "Requests failed; they may have run.");
 CTR(ctr_retries, "forward_repeats_total", "Requests sent to a second upstream or again.");
 CTR(ctr_budget, "forward_budget_total", "Repeats left out because of the budget.");
+CTR(ctr_uncharged, "forward_unreached_total",
+    "Attempts that reached no upstream and were made again without use of the retry budget.");
+CTR(ctr_other_instance, "forward_other_instance_total",
+    "Answers of another instance at the address of an upstream.");
 HIST(hist_answered, "answer_ms", "Time from the whole request to the answer of an upstream.");
 HIST(hist_waited, "slot_wait_ms", "Time that a request waited for a slot.");
 HIST(hist_refused, "refusal_ms", "Time from the whole request to its refusal.");
@@ -253,6 +257,7 @@
 	if (!arrived && f->sends < f->route->max_attempts &&
 	    f->deadline - clk_now() >= RETRY_MIN_LEFT_MS &&
 	    ++f->unused_grants < MAX_UNUSED_GRANTS) {
+		ctr_inc(&ctr_uncharged);
 		request_slot(f);
 		return;
 	}
@@ -312,6 +317,7 @@
 {
 	struct admit_report none = {0};
 
+	ctr_inc(&ctr_other_instance);
 	log_warn(&log, "instance %.*s answered at the address of upstream %s",
 		 STR_ARG(upconn_answer_header(a, f->list->env.platform->headers.instance)),
 		 f->upstream->id);
