retry: the window of the budget covers its whole length

Cause: ten parts of a second cover nine to ten seconds, so retries stopped counting up to a second early, and two bursts within ten seconds had a budget each. Now the part in which the window begins counts for retries, not for requests.

--- a/src/process/retry.c
+++ b/src/process/retry.c
@@ -13,7 +13,7 @@
 static struct retry_bucket *bucket_at(struct retry *r, const struct retry_options *o, clk_ms now)
 {
 	int64_t number = now / bucket_width(o);
-	struct retry_bucket *b = &r->buckets[number % RETRY_BUCKETS];
+	struct retry_bucket *b = &r->buckets[number % (RETRY_BUCKETS + 1)];
 
 	if (b->number != number)
 		*b = (struct retry_bucket){.number = number};
@@ -30,13 +30,18 @@
 	int64_t present = now / bucket_width(o);
 	struct retry_usage u = {0};
 
-	for (int i = 0; i < RETRY_BUCKETS; i++) {
+	/*
+	 * The part in which the window begins counts for retries and not for requests, so that
+	 * neither is taken for more favourable than it is.
+	 */
+	for (int i = 0; i <= RETRY_BUCKETS; i++) {
 		const struct retry_bucket *b = &r->buckets[i];
+		int64_t age = present - b->number;
 
-		if (present - b->number >= RETRY_BUCKETS)
-			continue;
-		u.requests += b->requests;
-		u.retries += b->retries;
+		if (age < RETRY_BUCKETS)
+			u.requests += b->requests;
+		if (age < RETRY_BUCKETS || (age == RETRY_BUCKETS && !MUTANT(retry_short_window)))
+			u.retries += b->retries;
 	}
 	u.allowed = USED_SHARE *
 		    (o->ratio * u.requests + (double)o->slack / (o->gateways ? o->gateways : 1));
--- a/src/process/retry.h
+++ b/src/process/retry.h
@@ -29,7 +29,8 @@
 };
 
 struct retry {
-	struct retry_bucket buckets[RETRY_BUCKETS];
+	/* The window can begin within a part, so one more part than it has can be needed. */
+	struct retry_bucket buckets[RETRY_BUCKETS + 1];
 };
 
 /* Use of the budget at one moment, for the log. */
--- a/test/unit_budget.c
+++ b/test/unit_budget.c
@@ -55,6 +55,30 @@
 }
 END_TEST
 
+/*
+ * All requests fail for a moment, twice within the window, at any distance and at any offset from
+ * the parts of the window. Guards against a window that forgets retries before it has passed.
+ */
+START_TEST(two_bursts_within_the_window_share_the_budget)
+{
+	const struct retry_options o = {.ratio = 0.2, .slack = 60, .window = 10000, .gateways = 1};
+
+	for (clk_ms first = 20000; first < 21000; first += 50) {
+		for (clk_ms gap = 0; gap < 10000; gap += 50) {
+			struct retry r = {0};
+			uint32_t retries = 0;
+
+			for (int i = 0; i < 200; i++)
+				retries += retry_take(&r, &o, first);
+			for (int i = 0; i < 200; i++)
+				retries += retry_take(&r, &o, first + gap);
+			ck_assert_msg(retries <= 60, "%u retries at %lld and %lld ms", retries,
+				      (long long)first, (long long)(first + gap));
+		}
+	}
+}
+END_TEST
+
 /* A single failure may be retried even if there is hardly any traffic. */
 START_TEST(idle_gateway_may_retry)
 {
@@ -110,11 +134,12 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"retry_no_budget", NULL};
+static const char *const mutants[] = {"retry_no_budget", "retry_short_window", NULL};
 
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, retries_stay_within_the_deployments_budget);
+	tcase_add_test(tc, two_bursts_within_the_window_share_the_budget);
 	tcase_add_test(tc, idle_gateway_may_retry);
 	tcase_add_test(tc, split_follows_the_weights);
 	tcase_add_test(tc, new_weights_take_effect);
