retry: no slack while the number of gateways is not known

Cause: the slack of the deployment was divided by one until the table of gateways had been read, so each gateway that started without it had all of the slack. Retries in proportion to its own requests go on.

Evidence: unit_budget unknown_number_of_gateways_gives_no_slack, twelve gateways took 504 retries for 60 allowed, 0 after; mutant retry_whole_slack.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -128,7 +128,7 @@
 		.ratio = g->settings.retry_ratio,
 		.slack = g->settings.retry_slack,
 		.window = g->settings.retry_window,
-		.gateways = (uint32_t)HASH_COUNT(g->members),
+		.gateways = g->members_known ? (uint32_t)HASH_COUNT(g->members) : 0,
 	};
 }
 
--- a/src/process/retry.c
+++ b/src/process/retry.c
@@ -25,6 +25,14 @@
 	bucket_at(r, o, now)->requests++;
 }
 
+/* Returns the part of the deployment's slack that this gateway may use. */
+static double part_of_slack(const struct retry_options *o)
+{
+	if (!o->gateways)
+		return MUTANT(retry_whole_slack) ? o->slack : 0;
+	return (double)o->slack / o->gateways;
+}
+
 struct retry_usage retry_usage(const struct retry *r, const struct retry_options *o, clk_ms now)
 {
 	int64_t present = now / bucket_width(o);
@@ -43,8 +51,7 @@
 		if (age < RETRY_BUCKETS || (age == RETRY_BUCKETS && !MUTANT(retry_short_window)))
 			u.retries += b->retries;
 	}
-	u.allowed = USED_SHARE *
-		    (o->ratio * u.requests + (double)o->slack / (o->gateways ? o->gateways : 1));
+	u.allowed = USED_SHARE * (o->ratio * u.requests + part_of_slack(o));
 	return u;
 }
 
--- a/src/process/retry.h
+++ b/src/process/retry.h
@@ -18,7 +18,7 @@
 	double ratio;	   /* retries per request, over the deployment */
 	uint32_t slack;	   /* retries per window that are always allowed, over the deployment */
 	clk_ms window;	   /* time over which requests and retries are counted */
-	uint32_t gateways; /* gateways that share the slack */
+	uint32_t gateways; /* gateways that share the slack, 0 if that is not known */
 };
 
 /* Counts of one part of the window. */
--- a/test/unit_budget.c
+++ b/test/unit_budget.c
@@ -79,6 +79,25 @@
 }
 END_TEST
 
+/*
+ * Gateways that have not read the table of gateways retry all they can. Guards against the slack of
+ * the deployment at each of them.
+ */
+START_TEST(unknown_number_of_gateways_gives_no_slack)
+{
+	const struct retry_options o = {.ratio = 0.2, .slack = 60, .window = 10000};
+	uint32_t retries = 0;
+
+	for (int g = 0; g < GATEWAYS; g++) {
+		struct retry r = {0};
+
+		for (int i = 0; i < 100; i++)
+			retries += retry_take(&r, &o, 20000);
+	}
+	ck_assert_msg(retries <= 60, "%u retries", retries);
+}
+END_TEST
+
 /* A single failure may be retried even if there is hardly any traffic. */
 START_TEST(idle_gateway_may_retry)
 {
@@ -134,12 +153,14 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"retry_no_budget", "retry_short_window", NULL};
+static const char *const mutants[] = {"retry_no_budget", "retry_short_window", "retry_whole_slack",
+				      NULL};
 
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, retries_stay_within_the_deployments_budget);
 	tcase_add_test(tc, two_bursts_within_the_window_share_the_budget);
+	tcase_add_test(tc, unknown_number_of_gateways_gives_no_slack);
 	tcase_add_test(tc, idle_gateway_may_retry);
 	tcase_add_test(tc, split_follows_the_weights);
 	tcase_add_test(tc, new_weights_take_effect);
