retry: a restart does not renew the slack

Cause: the count of retries ends with the process and the part of the slack was whole at once, so each restart within the window gave that part again. It now grows over three windows: what a former process used and what the next one may use within a window stay within the reserve (0.7 x 4/3). Ruled out: nothing for a whole window (small deployments would not retry at all for ten seconds after a restart), keeping the count on the platform (a write for each retry).

Evidence: unit_budget restarts_do_not_renew_the_slack, 108 retries before for 60 allowed; mutant retry_fresh_slack. Script latecopy repeats ten orders in the first second of its gateway and gets a larger slack; its checks are unchanged.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -129,6 +129,7 @@
 		.slack = g->settings.retry_slack,
 		.window = g->settings.retry_window,
 		.gateways = g->members_known ? (uint32_t)HASH_COUNT(g->members) : 0,
+		.member_since = g->registered ? g->registered_since : CLK_NEVER,
 	};
 }
 
--- a/src/process/gateway_mesh.c
+++ b/src/process/gateway_mesh.c
@@ -121,6 +121,13 @@
 	memcpy(m->region, parsed.region, sizeof(m->region));
 }
 
+static void set_registered(struct gateway *g, bool registered)
+{
+	if (registered && !g->registered)
+		g->registered_since = clk_now();
+	g->registered = registered;
+}
+
 /* Whether the table has a row with the present address of this gateway. */
 static bool own_row_is_current(const struct gateway *g)
 {
@@ -135,7 +142,7 @@
 	for (size_t i = 0; i < a->n_rows; i++)
 		update_member(g, &a->rows[i]);
 	g->members_known = true;
-	g->registered = own_row_is_current(g);
+	set_registered(g, own_row_is_current(g));
 	g->mesh_changed = true;
 }
 
@@ -195,7 +202,7 @@
 	}
 	/* A passive watch does not read the row back. */
 	update_member(g, &row);
-	g->registered = true;
+	set_registered(g, true);
 	g->mesh_changed = true;
 }
 
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -80,7 +80,7 @@
 	char name[FLEET_NAME_BYTES];
 	struct retry retry;
 	clk_ms retry_refusal_logged; /* last log line about a used up retry budget */
-	struct shardmgr *shardmgr; /* shard management of a keyed service, NULL for others */
+	struct shardmgr *shardmgr;   /* shard management of a keyed service, NULL for others */
 	/* Start of the wait before the next attempt to become shard manager, 0: no wait. */
 	clk_ms no_shardmgr_since;
 	bool map_send_due;	 /* changed owners are sent when `map_timer` expires */
@@ -183,6 +183,7 @@
 	clk_ms settings_checked_at; /* last comparison of the settings file's modification time */
 	int64_t settings_mtime;	    /* modification time of the settings in force, UTC ns */
 	bool registered;	    /* the store has a row with the address of this gateway */
+	clk_ms registered_since;    /* when `registered` became true last */
 	bool joining;		    /* a call of the registration is pending */
 	clk_ms join_next;	    /* no such call before this time */
 	clk_ms join_pause;	    /* pause after the next failure of such a call */
--- a/src/process/retry.c
+++ b/src/process/retry.c
@@ -4,6 +4,11 @@
 
 /* Share of the budget that is used; the rest is a reserve, as gateways' windows are not aligned. */
 #define USED_SHARE 0.7
+/*
+ * Time, in windows, in which a new process gets its whole part of the slack. In one window it gets
+ * a third, which with all that a former process used stays within the reserve.
+ */
+#define SLACK_RAMP_WINDOWS 3
 
 static clk_ms bucket_width(const struct retry_options *o)
 {
@@ -25,12 +30,23 @@
 	bucket_at(r, o, now)->requests++;
 }
 
-/* Returns the part of the deployment's slack that this gateway may use. */
-static double part_of_slack(const struct retry_options *o)
+/*
+ * Returns the part of the deployment's slack that this gateway may use. A new process may follow
+ * one that has just used this part, and other gateways may not count it yet, so its part grows
+ * slowly.
+ */
+static double part_of_slack(const struct retry_options *o, clk_ms now)
 {
+	clk_ms full_after = SLACK_RAMP_WINDOWS * o->window;
+	clk_ms age = o->member_since == CLK_NEVER ? 0 : now - o->member_since;
+	double part;
+
 	if (!o->gateways)
 		return MUTANT(retry_whole_slack) ? o->slack : 0;
-	return (double)o->slack / o->gateways;
+	part = (double)o->slack / o->gateways;
+	if (age >= full_after || MUTANT(retry_fresh_slack))
+		return part;
+	return part * (double)age / (double)full_after;
 }
 
 struct retry_usage retry_usage(const struct retry *r, const struct retry_options *o, clk_ms now)
@@ -51,7 +67,7 @@
 		if (age < RETRY_BUCKETS || (age == RETRY_BUCKETS && !MUTANT(retry_short_window)))
 			u.retries += b->retries;
 	}
-	u.allowed = USED_SHARE * (o->ratio * u.requests + part_of_slack(o));
+	u.allowed = USED_SHARE * (o->ratio * u.requests + part_of_slack(o, now));
 	return u;
 }
 
--- a/src/process/retry.h
+++ b/src/process/retry.h
@@ -19,6 +19,8 @@
 	uint32_t slack;	   /* retries per window that are always allowed, over the deployment */
 	clk_ms window;	   /* time over which requests and retries are counted */
 	uint32_t gateways; /* gateways that share the slack, 0 if that is not known */
+	/* Since when this gateway is one of them, CLK_NEVER if it is not yet. */
+	clk_ms member_since;
 };
 
 /* Counts of one part of the window. */
--- a/test/scripts/latecopy.sh
+++ b/test/scripts/latecopy.sh
@@ -14,6 +14,8 @@
 start store standin-rowstore --listen "$STORE" --control "$STORE_CONTROL" --second "$STORE_SECOND"
 wait_port "$STORE" "$STORE_CONTROL"
 write_settings 1
+# Every order is sent again, right after the start of the gateway.
+sed -i 's,retry-budget-slack=60,retry-budget-slack=6000,' "$WORK/gateway-1.conf"
 start_gateway 1
 wait_port "$FRONT1" "$READY1"
 put_row op config "$(config_row 00000005 /order/ | sed 's/"priority":1,"service":"plain","max-attempts":2,"allowed-regions":\["r1"\]/"priority":1,"service":"keys","max-attempts":3,"allowed-regions":[]/')"
