retry: a retry counts when it is sent

Cause: a retry was counted when it was decided. It may wait for a slot until its deadline, so retries of several seconds could be sent at once, when upstreams became free, and no longer counted soon after. It is now reserved when it is decided, counted when its first byte is written, and returned if it is not sent.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -155,19 +155,32 @@
 		s->name, u.retries, u.allowed, u.requests, (long long)o->window, o->gateways);
 }
 
-static bool take_retry(void *data, struct str service)
+static bool reserve_retry(void *data, struct str service)
 {
 	struct gateway *g = data;
 	struct gateway_service *s = gateway_service(g, service);
 	struct retry_options o = retry_options(g);
 	clk_ms now = clk_now();
 
-	if (retry_take(&s->retry, &o, now))
+	if (retry_reserve(&s->retry, &o, now))
 		return true;
 	log_retry_refusal(s, &o, now);
 	return false;
 }
 
+static void note_retry_sent(void *data, struct str service)
+{
+	struct gateway *g = data;
+	struct retry_options o = retry_options(g);
+
+	retry_note_sent(&gateway_service(g, service)->retry, &o, clk_now());
+}
+
+static void return_retry(void *data, struct str service)
+{
+	retry_return(&gateway_service(data, service)->retry);
+}
+
 static void on_crash(void *data, uint64_t fingerprint, uint64_t upstream)
 {
 	struct gateway *g = data;
@@ -204,7 +217,9 @@
 		.data = g,
 		.topo = current_topo,
 		.note_request = note_request,
-		.take_retry = take_retry,
+		.reserve_retry = reserve_retry,
+		.note_retry_sent = note_retry_sent,
+		.return_retry = return_retry,
 		.may_cross = gateway_may_cross_link,
 		.on_misplaced = on_misplaced,
 		.on_crash = on_crash,
--- a/src/process/retry.c
+++ b/src/process/retry.c
@@ -52,7 +52,7 @@
 struct retry_usage retry_usage(const struct retry *r, const struct retry_options *o, clk_ms now)
 {
 	int64_t present = now / bucket_width(o);
-	struct retry_usage u = {0};
+	struct retry_usage u = {.retries = r->reserved};
 
 	/*
 	 * The part in which the window begins counts for retries and not for requests, so that
@@ -71,12 +71,29 @@
 	return u;
 }
 
-bool retry_take(struct retry *r, const struct retry_options *o, clk_ms now)
+bool retry_reserve(struct retry *r, const struct retry_options *o, clk_ms now)
 {
 	struct retry_usage u = retry_usage(r, o, now);
 
 	if (u.retries + 1 > u.allowed && !MUTANT(retry_no_budget))
 		return false;
-	bucket_at(r, o, now)->retries++;
+	if (MUTANT(retry_count_decisions))
+		bucket_at(r, o, now)->retries++;
+	else
+		r->reserved++;
 	return true;
 }
+
+void retry_note_sent(struct retry *r, const struct retry_options *o, clk_ms now)
+{
+	if (MUTANT(retry_count_decisions))
+		return;
+	r->reserved--;
+	bucket_at(r, o, now)->retries++;
+}
+
+void retry_return(struct retry *r)
+{
+	if (!MUTANT(retry_count_decisions))
+		r->reserved--;
+}
--- a/src/process/retry.h
+++ b/src/process/retry.h
@@ -31,6 +31,7 @@
 };
 
 struct retry {
+	uint32_t reserved; /* retries that were permitted and are not sent yet */
 	/* The window can begin within a part, so one more part than it has can be needed. */
 	struct retry_bucket buckets[RETRY_BUCKETS + 1];
 };
@@ -38,14 +39,21 @@
 /* Use of the budget at one moment, for the log. */
 struct retry_usage {
 	uint32_t requests; /* counted in the window */
-	uint32_t retries;
-	double allowed; /* retries that this gateway may take in the window */
+	uint32_t retries;  /* sent in the window, or reserved */
+	double allowed;	   /* retries that this gateway may take in the window */
 };
 
 /* Counts a request. */
 void retry_note_request(struct retry *r, const struct retry_options *o, clk_ms now);
-/* Takes one retry from the budget; returns false if it is used up. */
-bool retry_take(struct retry *r, const struct retry_options *o, clk_ms now);
+/*
+ * Reserves one retry; returns false if the budget is used up. It counts from its sending on, since
+ * it may wait long for a slot: retries that are decided over seconds can be sent all at once.
+ */
+bool retry_reserve(struct retry *r, const struct retry_options *o, clk_ms now);
+/* A reserved retry is sent now. */
+void retry_note_sent(struct retry *r, const struct retry_options *o, clk_ms now);
+/* A reserved retry will not be sent. */
+void retry_return(struct retry *r);
 struct retry_usage retry_usage(const struct retry *r, const struct retry_options *o, clk_ms now);
 
 #endif
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -72,6 +72,7 @@
 	uint32_t ahead;		/* requests ahead of this one in the queue when it was refused */
 	uint32_t sends;		/* attempts of which at least one byte may have been sent */
 	uint32_t unused_grants; /* grants returned without sending */
+	bool retry_reserved;	/* a retry of the budget is reserved for the next attempt */
 	bool maybe_ran;		/* an attempt may have run at an upstream */
 	const char *why;	/* result of the last attempt or reason of a refusal, for the log */
 	struct forward *prev;
@@ -93,6 +94,8 @@
 static void forward_release(struct forward *f)
 {
 	slots_request_release(f->list->env.slots, &f->slot_request);
+	if (f->retry_reserved)
+		f->list->env.return_retry(f->list->env.data, f->service->name);
 	if (f->topo)
 		topo_unref(f->topo);
 	ingress_request_free(f->req);
@@ -229,16 +232,17 @@
 	}
 }
 
-/* Whether the request may be sent again; if so, takes one retry from the budget. */
-static bool try_take_retry(struct forward *f)
+/* Whether the request may be sent again; if so, reserves one retry of the budget. */
+static bool try_reserve_retry(struct forward *f)
 {
 	if (f->caller_left || f->sends >= f->route->max_attempts ||
 	    f->deadline - clk_now() < RETRY_MIN_LEFT_MS)
 		return false;
-	if (!f->list->env.take_retry(f->list->env.data, f->service->name)) {
+	if (!f->list->env.reserve_retry(f->list->env.data, f->service->name)) {
 		ctr_inc(&ctr_budget);
 		return false;
 	}
+	f->retry_reserved = true;
 	return true;
 }
 
@@ -261,7 +265,7 @@
 		request_slot(f);
 		return;
 	}
-	if (arrived && try_take_retry(f)) {
+	if (arrived && try_reserve_retry(f)) {
 		ctr_inc(&ctr_retries);
 		request_slot(f);
 		return;
@@ -274,7 +278,7 @@
 {
 	f->why = why;
 	f->maybe_ran = true;
-	if ((topo_is_idempotent(f->route) || MUTANT(forward_repeat_once)) && try_take_retry(f)) {
+	if ((topo_is_idempotent(f->route) || MUTANT(forward_repeat_once)) && try_reserve_retry(f)) {
 		ctr_inc(&ctr_retries);
 		request_slot(f);
 		return;
@@ -378,7 +382,7 @@
 		return;
 	}
 	if (a->status >= 500 && topo_is_idempotent(f->route) && !f->caller_left &&
-	    f->deadline - clk_now() > 2 * a->elapsed && try_take_retry(f)) {
+	    f->deadline - clk_now() > 2 * a->elapsed && try_reserve_retry(f)) {
 		avoid_upstream(f, f->upstream->num);
 		end_call(f, ADMIT_OK, a->elapsed, &report);
 		f->maybe_ran = true;
@@ -440,7 +444,13 @@
 {
 	struct forward *f = data;
 
-	return fleet_is_usable(f->upstream, clk_now()) && clk_now() < f->deadline;
+	if (!fleet_is_usable(f->upstream, clk_now()) || clk_now() >= f->deadline)
+		return false;
+	if (f->retry_reserved) {
+		f->list->env.note_retry_sent(f->list->env.data, f->service->name);
+		f->retry_reserved = false;
+	}
+	return true;
 }
 
 /* Whether the gateway sets or drops this header instead of copying it from the caller. */
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -32,8 +32,10 @@
 	struct topo *(*topo)(void *data);
 	/* Counts a caller's request for the retry budget of the service. */
 	void (*note_request)(void *data, struct str service);
-	/* Takes one retry from the budget of the service; returns false if it is used up. */
-	bool (*take_retry)(void *data, struct str service);
+	/* Reserves, notes and returns one retry of the service, see retry.h. */
+	bool (*reserve_retry)(void *data, struct str service);
+	void (*note_retry_sent)(void *data, struct str service);
+	void (*return_retry)(void *data, struct str service);
 	/*
 	 * Whether the link to the region may carry a body of this length. For a keyed service
 	 * the region is that of the key's owner.
--- a/test/unit_budget.c
+++ b/test/unit_budget.c
@@ -9,6 +9,15 @@
 
 #define GATEWAYS 12
 
+/* Retries at once if the budget permits it. */
+static bool retry_now(struct retry *r, const struct retry_options *o, clk_ms now)
+{
+	if (!retry_reserve(r, o, now))
+		return false;
+	retry_note_sent(r, o, now);
+	return true;
+}
+
 /*
  * Twelve gateways without contact to each other try to retry every request. Guards against more
  * retries in total than the deployment's budget in any window of ten seconds.
@@ -35,7 +44,7 @@
 				retry_note_request(&budgets[g], &o, now);
 				requests[now / 1000]++;
 			}
-			if (retry_take(&budgets[g], &o, now))
+			if (retry_now(&budgets[g], &o, now))
 				retries[now / 1000]++;
 		}
 	}
@@ -73,9 +82,9 @@
 			uint32_t retries = 0;
 
 			for (int i = 0; i < 200; i++)
-				retries += retry_take(&r, &o, first);
+				retries += retry_now(&r, &o, first);
 			for (int i = 0; i < 200; i++)
-				retries += retry_take(&r, &o, first + gap);
+				retries += retry_now(&r, &o, first + gap);
 			ck_assert_msg(retries <= 60, "%u retries at %lld and %lld ms", retries,
 				      (long long)first, (long long)(first + gap));
 		}
@@ -99,7 +108,7 @@
 			o.member_since = start ? 20000 + start * 4000 : 0;
 			for (clk_ms now = 20000 + start * 4000; now < 24000 + start * 4000;
 			     now += 100)
-				retries += retry_take(&r, &o, now);
+				retries += retry_now(&r, &o, now);
 		}
 	}
 	ck_assert_msg(retries <= 60, "%u retries", retries);
@@ -119,7 +128,7 @@
 		struct retry r = {0};
 
 		for (int i = 0; i < 100; i++)
-			retries += retry_take(&r, &o, 20000);
+			retries += retry_now(&r, &o, 20000);
 	}
 	ck_assert_msg(retries <= 60, "%u retries", retries);
 }
@@ -135,11 +144,47 @@
 					.member_since = 20000};
 	struct retry r = {0};
 
-	ck_assert(!retry_take(&r, &o, 20000));
+	ck_assert(!retry_now(&r, &o, 20000));
 	for (int i = 0; i < 10; i++)
 		retry_note_request(&r, &o, 20000);
-	ck_assert(retry_take(&r, &o, 20000));
-	ck_assert(!retry_take(&r, &o, 20000));
+	ck_assert(retry_now(&r, &o, 20000));
+	ck_assert(!retry_now(&r, &o, 20000));
+}
+END_TEST
+
+/*
+ * Retries wait for a slot for four seconds, then all are sent at once; later ones are sent as soon
+ * as they are decided. Guards against retries that are counted when they are decided.
+ */
+START_TEST(retries_that_waited_count_when_they_are_sent)
+{
+	const struct retry_options o = {
+		.ratio = 0.2, .slack = 60, .window = 10000, .gateways = 1, .member_since = -30000};
+	struct retry r = {0};
+	uint32_t waiting = 0;
+	uint32_t sent = 0;
+
+	while (retry_reserve(&r, &o, 20000) && waiting < 1000)
+		waiting++;
+	for (; sent < waiting; sent++)
+		retry_note_sent(&r, &o, 24000);
+	for (clk_ms now = 24000; now < 34000; now += 100)
+		sent += retry_now(&r, &o, now);
+	ck_assert_msg(sent <= 60, "%u retries from 24 s to 34 s", sent);
+}
+END_TEST
+
+/* Retries that were reserved and never sent leave the budget as it was. */
+START_TEST(returned_retries_are_free)
+{
+	const struct retry_options o = {
+		.ratio = 0.2, .slack = 60, .window = 10000, .gateways = 1, .member_since = -30000};
+	struct retry r = {0};
+
+	for (int i = 0; i < 1000; i++) {
+		ck_assert(retry_reserve(&r, &o, 20000));
+		retry_return(&r);
+	}
 }
 END_TEST
 
@@ -154,7 +199,7 @@
 	struct retry r = {0};
 
 	retry_note_request(&r, &o, 1000);
-	ck_assert(retry_take(&r, &o, 1000));
+	ck_assert(retry_now(&r, &o, 1000));
 }
 END_TEST
 
@@ -201,8 +246,9 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"retry_no_budget", "retry_short_window", "retry_whole_slack",
-				      "retry_fresh_slack", NULL};
+static const char *const mutants[] = {"retry_no_budget",       "retry_short_window",
+				      "retry_whole_slack",     "retry_fresh_slack",
+				      "retry_count_decisions", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -211,6 +257,8 @@
 	tcase_add_test(tc, restarts_do_not_renew_the_slack);
 	tcase_add_test(tc, unknown_number_of_gateways_gives_no_slack);
 	tcase_add_test(tc, new_gateway_may_retry_a_share_of_its_requests);
+	tcase_add_test(tc, retries_that_waited_count_when_they_are_sent);
+	tcase_add_test(tc, returned_retries_are_free);
 	tcase_add_test(tc, idle_gateway_may_retry);
 	tcase_add_test(tc, split_follows_the_weights);
 	tcase_add_test(tc, new_weights_take_effect);
