forward, fleet: nothing is sent twice to an address that another instance has

What callers and upstreams saw: requests for keys whose owner's address belongs to an upstream of another service now arrived there, were refused with 421, and arrived again: in a keyed service the request has only this owner. Such arrivals count against the retry budget of a service that the gateway never meant.

Cause: the gateway charges a retry to the service it means; what it finds out about the address was only a pause of 100 ms to 2 s at the admission controller. Class: a budget that is charged elsewhere than where it is measured.

Mutants forward_trust_address, fleet_ignore_displaced; unit_fleet.

--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -9,6 +9,8 @@
 
 /* A removed upstream is kept this long, since it may still have to release its keys. */
 #define REMOVED_RETENTION_MS 15000
+/* An upstream gets no requests for this long after another instance answered at its address. */
+#define DISPLACED_MS 10000
 
 static const struct log log = {"fleet"};
 
@@ -111,8 +113,10 @@
 	u->removed_at = CLK_NEVER;
 	u->evacuated = is_evacuated(f, u->failure_domain);
 	u->in_full_read = true;
-	if (is_new)
+	if (is_new) {
+		u->displaced_until = 0;
 		f->handlers.on_new(f->data, u);
+	}
 	return changed;
 }
 
@@ -171,7 +175,13 @@
 
 bool fleet_is_usable(const struct fleet_upstream *u, clk_ms now)
 {
-	return !u->draining && !u->evacuated && now < u->removed_at;
+	return !u->draining && !u->evacuated && now < u->removed_at &&
+	       (now >= u->displaced_until || MUTANT(fleet_ignore_displaced));
+}
+
+void fleet_note_displaced(struct fleet_upstream *u, clk_ms now)
+{
+	u->displaced_until = now + DISPLACED_MS;
 }
 
 void fleet_hold(struct fleet_upstream *u)
@@ -192,17 +202,19 @@
 		free_upstream(f, u);
 }
 
-clk_ms fleet_tick(struct fleet *f, clk_ms now)
+bool fleet_tick(struct fleet *f, clk_ms now)
 {
 	struct fleet_upstream *u;
 	struct fleet_upstream *tmp;
-	clk_ms next = CLK_NEVER;
+	bool changed = false;
 
 	HASH_ITER (hh, f->upstreams, u, tmp) {
+		bool usable = fleet_is_usable(u, now);
+
+		changed = changed || usable != u->was_usable;
+		u->was_usable = usable;
 		if (may_free(u, now))
 			free_upstream(f, u);
-		else if (u->removed_at > now && u->removed_at < next)
-			next = u->removed_at;
 	}
-	return next;
+	return changed;
 }
--- a/src/process/fleet.h
+++ b/src/process/fleet.h
@@ -42,6 +42,9 @@
 	bool evacuated;	   /* operators have evacuated its failure domain */
 	clk_ms cold_until; /* its request rate is limited until this time, after its start */
 	clk_ms removed_at; /* unusable from this time on; CLK_NEVER while it is registered */
+	/* Another instance answered at its address: unusable until then, 0 if none did. */
+	clk_ms displaced_until;
+	bool was_usable;   /* at the last fleet_tick() */
 	bool in_full_read; /* contained in the full read that is being applied */
 	uint32_t users;	   /* references, see fleet_hold() */
 	void *conns;	   /* connection pool of the module's user */
@@ -76,6 +79,13 @@
 /* Replaces the list of failure domains that operators have evacuated. */
 void fleet_set_evacuated(struct fleet *f, const struct str *domains, size_t n);
 
+/*
+ * Another instance answered at the upstream's address, so the registered process has ended. The
+ * upstream becomes unusable until it registers anew, or for some seconds, since the answer of a
+ * faulty instance must not end its use for good.
+ */
+void fleet_note_displaced(struct fleet_upstream *u, clk_ms now);
+
 /* Returns the upstream with this number, NULL if unknown. */
 struct fleet_upstream *fleet_find(const struct fleet *f, uint64_t num);
 /* Returns the first upstream; u->hh.next is the next one. */
@@ -86,10 +96,10 @@
 void fleet_hold(struct fleet_upstream *u);
 void fleet_release(struct fleet *f, struct fleet_upstream *u, clk_ms now);
 /*
- * Frees removed upstreams without references. Returns the next time at which an upstream becomes
- * unusable because of its removal, CLK_NEVER if there is none.
+ * Frees removed upstreams without references. Returns true if upstreams became usable or unusable
+ * since the last call.
  */
-clk_ms fleet_tick(struct fleet *f, clk_ms now);
+bool fleet_tick(struct fleet *f, clk_ms now);
 
 /* Returns the number of an upstream, a hash of its id; never 0. */
 uint64_t fleet_num(struct str id);
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -447,7 +447,8 @@
 	gateway_elect(g, now);
 	gateway_report_keys(g, now);
 	quarantine_tick(g->crashes, now);
-	fleet_tick(g->fleet, now);
+	if (fleet_tick(g->fleet, now))
+		gateway_sync_services(g);
 	log_flush();
 }
 
--- a/src/process/gateway_doc.c
+++ b/src/process/gateway_doc.c
@@ -159,8 +159,7 @@
 
 /* ---- all tables ----------------------------------------------------------------------------- */
 
-/* Passes the configuration and the upstreams on to admission and shard management. */
-static void sync_services(struct gateway *g)
+void gateway_sync_services(struct gateway *g)
 {
 	clk_ms now = clk_now();
 	struct gateway_service *s;
@@ -196,7 +195,7 @@
 	case META_TABLES:
 		return;
 	}
-	sync_services(g);
+	gateway_sync_services(g);
 }
 
 void gateway_docs_close(struct gateway *g)
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -297,6 +297,8 @@
 /* Applies rows of a table, see watch_handlers.on_rows. */
 void gateway_on_rows(void *gateway, enum meta_table table, bool whole, bool recovered,
 		     const struct meta_answer *answer);
+/* Passes the configuration and the upstreams on to admission and shard management. */
+void gateway_sync_services(struct gateway *g);
 void gateway_docs_close(struct gateway *g);
 
 /* gateway_table.c */
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -314,8 +314,8 @@
 
 /*
  * Load pattern: a reused address. The other instance refuses every request at once, so the slots of
- * the registered upstream always seem free. The slot is therefore returned as ADMIT_UNREACHED,
- * which makes the admission controller pause the upstream.
+ * the registered upstream always seem free. It gets nothing more from this gateway, and the slot is
+ * returned as ADMIT_UNREACHED, which makes the admission controller pause it for the others.
  */
 static void after_other_instance(struct forward *f, const struct upconn_answer *a)
 {
@@ -325,6 +325,7 @@
 	log_warn(&log, "instance %.*s answered at the address of upstream %s",
 		 STR_ARG(upconn_answer_header(a, f->list->env.platform->headers.instance)),
 		 f->upstream->id);
+	fleet_note_displaced(f->upstream, clk_now());
 	avoid_upstream(f, f->upstream->num);
 	end_call(f, ADMIT_UNREACHED, 0, &none);
 	after_not_run(f, "other-instance", true);
--- a/standin/standin_keyed.c
+++ b/standin/standin_keyed.c
@@ -39,7 +39,10 @@
 	size_t cancelled;   /* running requests whose client disconnected */
 	char *ids[MAX_IDS]; /* attempt ids of requests that ran */
 	size_t n_ids;
-	size_t repeated; /* runs whose attempt id had run before */
+	size_t repeated;	    /* runs whose attempt id had run before */
+	char *refused_ids[MAX_IDS]; /* attempt ids of requests refused with 421 */
+	size_t n_refused_ids;
+	size_t refused_again; /* refused with 421, and their attempt id had been before */
 } server = {.work_ms = 5};
 
 static volatile sig_atomic_t stopping;
@@ -73,17 +76,30 @@
 	ingress_request_free(req);
 }
 
+/* Adds an id to a list of at most MAX_IDS; returns true if the list had it. */
+static bool record_id(char **ids, size_t *n, struct str id)
+{
+	for (size_t i = 0; i < *n; i++) {
+		if (str_eq_cstr(id, ids[i]))
+			return true;
+	}
+	if (*n < MAX_IDS)
+		ids[(*n)++] = strndup(id.ptr ? id.ptr : "", id.len);
+	return false;
+}
+
 static void record_run(struct str id)
 {
 	server.runs++;
-	for (size_t i = 0; i < server.n_ids; i++) {
-		if (str_eq_cstr(id, server.ids[i])) {
-			server.repeated++;
-			return;
-		}
-	}
-	if (server.n_ids < MAX_IDS)
-		server.ids[server.n_ids++] = strndup(id.ptr ? id.ptr : "", id.len);
+	if (record_id(server.ids, &server.n_ids, id))
+		server.repeated++;
+}
+
+static void record_misplaced(struct str id)
+{
+	server.misplaced++;
+	if (record_id(server.refused_ids, &server.n_refused_ids, id))
+		server.refused_again++;
 }
 
 static void on_job_done(struct timer *timer, void *data)
@@ -209,7 +225,7 @@
 	if (str_eq_cstr(req->path, "/-/grant") || str_eq_cstr(req->path, "/-/release")) {
 		on_lease_order(req, str_eq_cstr(req->path, "/-/grant"));
 	} else if (!str_eq_cstr(expected, server.id) || !has_key_lease(req)) {
-		server.misplaced++;
+		record_misplaced(ingress_header(req, "x-attempt-id"));
 		refuse(req, 421);
 	} else if (server.shed_remaining > 0) {
 		server.shed_remaining--;
@@ -257,10 +273,11 @@
 		reply_text(req, 200, STR_LIT("{}\n"));
 		return;
 	}
-	root = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "runs", (json_int_t)server.runs, "running",
-			 (json_int_t)server.running, "misplaced", (json_int_t)server.misplaced,
-			 "grants", (json_int_t)server.grants, "cancelled",
-			 (json_int_t)server.cancelled, "repeated", (json_int_t)server.repeated);
+	root = json_pack(
+		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "runs", (json_int_t)server.runs, "running",
+		(json_int_t)server.running, "misplaced", (json_int_t)server.misplaced, "grants",
+		(json_int_t)server.grants, "cancelled", (json_int_t)server.cancelled, "repeated",
+		(json_int_t)server.repeated, "refused-again", (json_int_t)server.refused_again);
 	text = json_dumps(root, JSON_COMPACT);
 	reply_text(req, 200, str_from(text));
 	free(text);
--- a/test/unit_fleet.c
+++ b/test/unit_fleet.c
@@ -170,7 +170,34 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"fleet_ignore_draining", NULL};
+/*
+ * Guards against requests to an address that another instance has, also when the old registration
+ * is repeated, and against an upstream that is off for good because of one wrong answer.
+ */
+START_TEST(displaced_upstream_gets_nothing_until_it_registers_anew)
+{
+	struct fleet *f = setup();
+	struct fleet_info i = info("a", "d1", 1);
+
+	fleet_put(f, 10, &i);
+	ck_assert(fleet_tick(f, 10));
+	ck_assert(!fleet_tick(f, 20));
+	fleet_note_displaced(find(f, "a"), 30);
+	ck_assert(!fleet_is_usable(find(f, "a"), 30));
+	ck_assert(fleet_tick(f, 30));
+	fleet_put(f, 40, &i);
+	ck_assert(!fleet_is_usable(find(f, "a"), 40));
+	i.started = 2;
+	fleet_put(f, 50, &i);
+	ck_assert(fleet_is_usable(find(f, "a"), 50));
+	fleet_note_displaced(find(f, "a"), 60);
+	ck_assert(!fleet_is_usable(find(f, "a"), 9000));
+	ck_assert(fleet_is_usable(find(f, "a"), 60000));
+	fleet_destroy(f);
+}
+END_TEST
+
+static const char *const mutants[] = {"fleet_ignore_draining", "fleet_ignore_displaced", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -181,6 +208,7 @@
 	tcase_add_test(tc, new_start_time_is_a_new_process);
 	tcase_add_test(tc, evacuated_domain_gets_nothing);
 	tcase_add_test(tc, upstream_in_use_is_kept);
+	tcase_add_test(tc, displaced_upstream_gets_nothing_until_it_registers_anew);
 }
 
 int main(int argc, char **argv)
