platform, fleet: what upstreams say of themselves in answers is read and logged

The adapter decodes Server-Limit, Server-Leaving and the Retry-After of a 503 into struct notice; a value that is none counts as absent, of several the strictest counts. One log line when a limit begins or ends, counters upstream_limited_total, upstream_leaving_total, upstream_turned_away_total. No decision changes. unit_plat notices_are_read, strange_notices_count_as_absent.

--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/ctr.h"
 #include "base/log.h"
 #include "base/mutant.h"
 
@@ -13,6 +14,10 @@
 #define DISPLACED_MS 10000
 
 static const struct log log = {"fleet"};
+CTR(ctr_limited, "upstream_limited_total", "Times that an upstream began to limit its requests.");
+CTR(ctr_leaving, "upstream_leaving_total", "Times that an upstream's answer said that it leaves.");
+CTR(ctr_turned_away, "upstream_turned_away_total",
+    "Requests that an upstream turned away with a time for which it wants none.");
 
 struct evacuated {
 	char failure_domain[FLEET_NAME_BYTES];
@@ -115,6 +120,8 @@
 	u->in_full_read = true;
 	if (is_new) {
 		u->displaced_until = 0;
+		u->notice = (struct notice){0};
+		u->invalid_notice_known = false;
 		f->handlers.on_new(f->data, u);
 	}
 	return changed;
@@ -179,6 +186,40 @@
 	       (now >= u->displaced_until || MUTANT(fleet_ignore_displaced));
 }
 
+static void log_limit(const struct fleet_upstream *u, const struct notice *n)
+{
+	if (n->limited && !u->notice.limited) {
+		ctr_inc(&ctr_limited);
+		log_info(&log, "upstream %s of %s takes %.2f requests a second from all gateways",
+			 u->id, u->service, n->limit);
+	} else if (!n->limited && u->notice.limited) {
+		log_info(&log, "upstream %s of %s no longer limits its requests (%.2f a second)",
+			 u->id, u->service, u->notice.limit);
+	}
+}
+
+void fleet_note_notice(struct fleet_upstream *u, const struct notice *n, bool valid)
+{
+	if (!valid && !u->invalid_notice_known) {
+		u->invalid_notice_known = true;
+		log_warn(&log,
+			 "upstream %s of %s says something invalid of its limit or of the "
+			 "time for which it wants no requests; ignored",
+			 u->id, u->service);
+	}
+	log_limit(u, n);
+	if (n->leaving && !u->notice.leaving) {
+		ctr_inc(&ctr_leaving);
+		log_info(&log, "upstream %s of %s says that it leaves", u->id, u->service);
+	}
+	if (n->retry_after) {
+		ctr_inc(&ctr_turned_away);
+		log_info(&log, "upstream %s of %s wants no requests for %lld ms", u->id, u->service,
+			 (long long)n->retry_after);
+	}
+	u->notice = *n;
+}
+
 void fleet_note_displaced(struct fleet_upstream *u, clk_ms now)
 {
 	u->displaced_until = now + DISPLACED_MS;
--- a/src/process/fleet.h
+++ b/src/process/fleet.h
@@ -12,6 +12,7 @@
 #include "base/clk.h"
 #include "base/hash.h"
 #include "base/str.h"
+#include "process/notice.h"
 
 /* Buffer for a name or an id, with its terminating NUL. */
 #define FLEET_NAME_BYTES 201
@@ -44,10 +45,12 @@
 	clk_ms removed_at; /* unusable from this time on; CLK_NEVER while it is registered */
 	/* Another instance answered at its address: unusable until then, 0 if none did. */
 	clk_ms displaced_until;
-	bool was_usable;   /* at the last fleet_tick() */
-	bool in_full_read; /* contained in the full read that is being applied */
-	uint32_t users;	   /* references, see fleet_hold() */
-	void *conns;	   /* connection pool of the module's user */
+	bool was_usable;	   /* at the last fleet_tick() */
+	struct notice notice;	   /* of its last answer */
+	bool invalid_notice_known; /* the log has that its notices have invalid values */
+	bool in_full_read;	   /* contained in the full read that is being applied */
+	uint32_t users;		   /* references, see fleet_hold() */
+	void *conns;		   /* connection pool of the module's user */
 	UT_hash_handle hh;
 };
 
@@ -86,6 +89,9 @@
  */
 void fleet_note_displaced(struct fleet_upstream *u, clk_ms now);
 
+/* Records what the upstream said in an answer; `valid`: all of it could be read. */
+void fleet_note_notice(struct fleet_upstream *u, const struct notice *notice, bool valid);
+
 /* Returns the upstream with this number, NULL if unknown. */
 struct fleet_upstream *fleet_find(const struct fleet *f, uint64_t num);
 /* Returns the first upstream; u->hh.next is the next one. */
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -7,10 +7,12 @@
 
 #include "base/arena.h"
 #include "base/err.h"
+#include "connection/upconn.h"
 #include "process/admit.h"
 #include "process/fleet.h"
 #include "process/gwset.h"
 #include "process/meta.h"
+#include "process/notice.h"
 #include "version/topo.h"
 
 /*
@@ -68,6 +70,11 @@
 			     struct err *err);
 	/* Parses the value of the load header; returns false if it is invalid. */
 	bool (*load)(struct str value, struct admit_report *out);
+	/*
+	 * Reads what an upstream says of itself in the headers of an answer; returns false if one
+	 * of the values is invalid, which then counts as absent.
+	 */
+	bool (*notice)(const struct upconn_answer *a, struct notice *out);
 	/* Returns the body of a call to `grant_path` or `release_path`. */
 	struct str (*grant_body)(struct arena *a, const struct platform_grant *g);
 };
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -304,6 +304,14 @@
 			 STR_ARG(value));
 }
 
+static void read_notice(struct forward *f, const struct upconn_answer *a)
+{
+	struct notice notice;
+	bool valid = f->list->env.platform->notice(a, &notice);
+
+	fleet_note_notice(f->upstream, &notice, valid);
+}
+
 /* Whether another instance answered: the address was reused after the upstream registered. */
 static bool is_other_instance(const struct forward *f, const struct upconn_answer *a)
 {
@@ -362,6 +370,7 @@
 		return;
 	}
 	read_report(f, a, &report);
+	read_notice(f, a);
 	if (is_not_run(f, a)) {
 		bool misplaced = a->status == 421;
 
--- a/test/unit_plat.c
+++ b/test/unit_plat.c
@@ -311,6 +311,81 @@
 }
 END_TEST
 
+static struct notice notice_of(int status, const char *name, const char *value, bool *valid)
+{
+	const struct upconn_header headers[] = {{STR_LIT("content-length"), STR_LIT("0")},
+						{str_from(name), str_from(value)}};
+	const struct upconn_answer a = {.status = status, .headers = headers, .n_headers = 2};
+	struct notice n;
+
+	*valid = plat_notice(&a, &n);
+	return n;
+}
+
+/* Guards against a limit, a departure or a wait that is not believed. */
+START_TEST(notices_are_read)
+{
+	const struct upconn_header several[] = {
+		{STR_LIT("server-limit"), STR_LIT("4.5")},
+		{STR_LIT("server-limit"), STR_LIT("2")},
+		{STR_LIT("retry-after"), STR_LIT("1")},
+		{STR_LIT("retry-after"), STR_LIT("3")},
+		{STR_LIT("server-leaving"), STR_LIT("1")},
+		{STR_LIT("server-leaving"), STR_LIT("0")},
+	};
+	const struct upconn_answer a = {.status = 503, .headers = several, .n_headers = 6};
+	struct notice n;
+	bool valid;
+
+	n = notice_of(200, "server-limit", "1.75", &valid);
+	ck_assert(valid && n.limited && n.limit > 1.74 && n.limit < 1.76 && !n.leaving);
+	n = notice_of(200, "server-limit", " 0 ", &valid);
+	ck_assert(valid && n.limited && n.limit <= 0);
+	n = notice_of(200, "server-leaving", "1", &valid);
+	ck_assert(valid && n.leaving && !n.limited);
+	n = notice_of(503, "retry-after", "2", &valid);
+	ck_assert(valid && n.retry_after == 2000);
+	n = notice_of(503, "retry-after", "0.25", &valid);
+	ck_assert(valid && n.retry_after == 250);
+	n = notice_of(200, "retry-after", "2", &valid);
+	ck_assert(valid && n.retry_after == 0);
+	ck_assert(plat_notice(&a, &n));
+	ck_assert(n.limited && n.limit < 2.01 && n.retry_after == 3000 && n.leaving);
+}
+END_TEST
+
+/* Guards against a strange value that limits an upstream or turns it off. */
+START_TEST(strange_notices_count_as_absent)
+{
+	static const char *const strange[] = {"",
+					      "-1",
+					      "nan",
+					      "inf",
+					      "1e3",
+					      "0x10",
+					      "1,5",
+					      "1.",
+					      ".5",
+					      "1.2.3",
+					      "many",
+					      "12345678901234567890",
+					      "Wed, 21 Oct 2015 07:28:00 GMT"};
+	struct notice n;
+	bool valid;
+
+	for (size_t i = 0; i < sizeof(strange) / sizeof(strange[0]); i++) {
+		n = notice_of(200, "server-limit", strange[i], &valid);
+		ck_assert_msg(!valid && !n.limited, "server-limit: %s", strange[i]);
+		n = notice_of(503, "retry-after", strange[i], &valid);
+		ck_assert_msg(!valid && !n.retry_after, "retry-after: %s", strange[i]);
+		n = notice_of(200, "server-leaving", strange[i], &valid);
+		ck_assert_msg(!n.leaving, "server-leaving: %s", strange[i]);
+	}
+	n = notice_of(503, "retry-after", "100000", &valid);
+	ck_assert(!valid && !n.retry_after);
+}
+END_TEST
+
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, settings_are_read);
@@ -320,6 +395,8 @@
 	tcase_add_test(tc, invalid_registrations_are_rejected);
 	tcase_add_test(tc, load_reports);
 	tcase_add_test(tc, grant_bodies);
+	tcase_add_test(tc, notices_are_read);
+	tcase_add_test(tc, strange_notices_count_as_absent);
 	tcase_add_test(tc, evacuation_rows);
 }
 
