admit, slots: an upstream gets no more requests than the limit that it names

What callers and upstreams saw: an upstream that names Server-Limit got several times that (46 requests in 4 s at 1.8 a second, 16 allowed).

Cause: admission granted what the slots bear; the header was read by nobody. Class: a bound of an upstream that holds for all gateways together. Now the answer's limit goes to the admission controller with the slot, which grants from one token bucket for it, as for cold upstreams. Waits are estimated with it, so what exceeds the limit goes to other upstreams or is refused on arrival, and what waits in vain when a limit begins is refused then. Every gateway keeps the limits it was told, so the successor of a controller starts with them; a gateway that decides by itself leaves limited upstreams alone. A limit ends with the first answer without it, or after 10 s without an answer; 0 still lets a request pass every 4 s.

Mutants admit_ignore_limit, admit_ignore_bar, slots_forget_limit.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -1,5 +1,6 @@
 #include "process/admit_priv.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* Time after the request's deadline at which a slot that was not returned is freed. */
@@ -8,6 +9,9 @@
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_JITTER_MS 150
 
+/* A service whose cold upstreams may get nothing has no next token. */
+#define MAX_TOKEN_WAIT_MS 10000.0
+
 static const char *const outcome_names[] = {
 	[ADMIT_OK] = "ok",	   [ADMIT_SHED] = "shed",	[ADMIT_UNREACHED] = "unreached",
 	[ADMIT_BROKE] = "broke",   [ADMIT_TIMEOUT] = "timeout", [ADMIT_CANCELLED] = "cancelled",
@@ -178,8 +182,8 @@
 			abort();
 		u->num = conf->num;
 		u->utilization_at = now;
-		u->cold_at = now;
-		u->cold_tokens = ADMIT_COLD_BURST;
+		u->tokens_at = now;
+		u->tokens = ADMIT_RATE_BURST;
 		u->mean_slowness = ADMIT_USUAL_SLOWNESS;
 		HASH_ADD(hh, a->upstreams, num, sizeof(u->num), u);
 	}
@@ -284,20 +288,45 @@
 }
 
 /*
- * Refuses the last request of the queue if it can no longer get a slot by its `grant_by`, because a
- * request of higher priority was added. Its caller gets the answer now instead of at that time.
+ * Refuses the last request of the queue if it can no longer get a slot by its `grant_by`; returns
+ * false if it can. Its caller gets the answer now instead of at that time.
  */
+static bool refuse_last(struct admit *a, clk_ms now, struct queue *q, const struct upstream *only)
+{
+	struct waiting *last = q->tail;
+	clk_ms wait = admit_wait_behind(a, only, now, q->len - 1);
+
+	if (now + wait <= last->grant_by)
+		return false;
+	waiting_refuse(a, now, last, ADMIT_REFUSE_FULL, wait);
+	return true;
+}
+
+/* Called after a request of higher priority than the last one may have been added. */
 static void refuse_displaced(struct admit *a, clk_ms now, struct queue *q,
 			     const struct upstream *only)
 {
-	struct waiting *last = q->tail;
-	clk_ms wait;
+	if (q->len >= 2)
+		refuse_last(a, now, q, only);
+}
 
-	if (!last || q->len < 2)
-		return;
-	wait = admit_wait_behind(a, only, now, q->len - 1);
-	if (now + wait > last->grant_by)
-		waiting_refuse(a, now, last, ADMIT_REFUSE_FULL, wait);
+/*
+ * Refuses waiting requests for which there is no room any more, since an upstream takes fewer:
+ * first those that only another gateway may send there, then the last ones of the queue.
+ */
+static void refuse_excess(struct admit *a, clk_ms now, struct upstream *u)
+{
+	struct upstream *only = a->opts.keyed ? u : NULL;
+	struct queue *q = only ? &u->queue : &a->common;
+	struct waiting *next;
+
+	for (struct waiting *w = only ? q->head : NULL; w; w = next) {
+		next = w->next;
+		if (admit_is_barred(a, u, now, &w->request))
+			waiting_refuse(a, now, w, ADMIT_REFUSE_FULL, ADMIT_OWNER_WAIT_MS);
+	}
+	while (q->len && refuse_last(a, now, q, only))
+		;
 }
 
 void admit_request(struct admit *a, clk_ms now, const struct admit_request *request)
@@ -320,6 +349,10 @@
 				    budget < ADMIT_OWNER_WAIT_MS ? budget : ADMIT_OWNER_WAIT_MS);
 		return;
 	}
+	if (only && admit_is_barred(a, only, now, request)) {
+		refuse(a, request, ADMIT_REFUSE_FULL, ADMIT_OWNER_WAIT_MS, 0, 0);
+		return;
+	}
 	ahead = count_ahead(q, request->priority);
 	wait = admit_wait_behind(a, only, now, ahead);
 	if (wait > budget) {
@@ -372,10 +405,8 @@
 	s->free_at = w->request.deadline + SLOT_EXPIRY_MARGIN_MS;
 	HASH_ADD(hh, a->slots, id, sizeof(s->id), s);
 	u->in_use++;
-	if (admit_is_cold(u, now)) {
-		u->cold_tokens = admit_cold_tokens(a, u, now) - 1.0;
-		u->cold_at = now;
-	}
+	u->tokens = admit_tokens(a, u, now) - 1.0;
+	u->tokens_at = now;
 	*out = (struct admit_decision){
 		.node = w->request.node,
 		.request = w->request.id,
@@ -409,6 +440,8 @@
 		return;
 	u = s->upstream;
 	admit_apply_report(u, now, report);
+	if (admit_apply_limit(a, u, now, report))
+		refuse_excess(a, now, u);
 	switch (outcome) {
 	case ADMIT_OK:
 		u->pause = 0;
@@ -431,6 +464,14 @@
 	slot_release(a, now, s);
 }
 
+void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report)
+{
+	struct upstream *u = upstream_find(a, num);
+
+	if (u && admit_apply_limit(a, u, now, report))
+		refuse_excess(a, now, u);
+}
+
 void admit_set_service_time(struct admit *a, uint64_t num, clk_ms ms)
 {
 	struct upstream *u = upstream_find(a, num);
@@ -504,7 +545,7 @@
 			return true;
 		}
 		/* If an unrestricted request finds no slot, no other request will. */
-		if (!w->request.avoid[0] && !w->request.warm_only)
+		if (!w->request.avoid[0] && !w->request.unlimited_only)
 			return false;
 	}
 	return false;
@@ -515,9 +556,14 @@
 	struct upstream *u;
 
 	for (u = a->upstreams; u; u = u->hh.next) {
-		if (u->queue.len && admit_can_grant(a, u, now) &&
-		    !(u->queue.head->request.warm_only && admit_is_cold(u, now))) {
-			grant(a, now, u->queue.head, u, out);
+		struct waiting *w = u->queue.head;
+
+		if (!w || !admit_can_grant(a, u, now))
+			continue;
+		while (w && admit_is_barred(a, u, now, &w->request))
+			w = w->next;
+		if (w) {
+			grant(a, now, w, u, out);
 			return true;
 		}
 	}
@@ -531,6 +577,14 @@
 	       pop_refusal(a, out);
 }
 
+/* Returns the time until the upstream has a token. */
+static clk_ms token_wait(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	double ms = (1.0 - admit_tokens(a, u, now)) * 1000.0 / admit_rate(a, u, now);
+
+	return (clk_ms)fmin(ms, MAX_TOKEN_WAIT_MS) + 1;
+}
+
 clk_ms admit_due(const struct admit *a, clk_ms now)
 {
 	const struct waiting *w;
@@ -557,11 +611,8 @@
 			continue;
 		if (now < u->paused_until)
 			at = u->paused_until;
-		else if (admit_is_cold(u, now) && admit_cold_tokens(a, u, now) < 1.0)
-			at = now +
-			     (clk_ms)((1.0 - admit_cold_tokens(a, u, now)) * 1000.0 /
-				      a->opts.cold_per_second) +
-			     1;
+		else if (admit_tokens(a, u, now) < 1.0)
+			at = now + token_wait(a, u, now);
 		else if (admit_load_elsewhere(u, now))
 			at = u->reported_at + ADMIT_REPORT_AGE_MS;
 		if (at < due)
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -12,7 +12,8 @@
  *   and the last reported slowness;
  * - one hot key: requests for a key whose owner is full wait in the queue of that owner only;
  * - upstreams that hang when full: an upstream never gets more requests than it has slots;
- * - cold upstreams: one admission controller limits the request rate of a cold upstream.
+ * - cold upstreams, and upstreams that name a limit: one admission controller limits their request
+ *   rate; what exceeds it goes to others, or is refused on arrival if only they may serve it.
  */
 #ifndef PROCESS_ADMIT_H
 #define PROCESS_ADMIT_H
@@ -23,6 +24,7 @@
 
 #include "base/clk.h"
 #include "base/rnd.h"
+#include "process/notice.h"
 
 /* Most upstreams that one request excludes because they failed it. */
 #define ADMIT_MAX_AVOID 3
@@ -50,7 +52,8 @@
 	clk_ms target;	   /* time by which the latency objective wants the answer */
 	uint32_t place;	   /* hash of the failure domain of the requesting gateway */
 	bool heavy;	   /* large body: strongly prefer an upstream in the same failure domain */
-	bool warm_only;	   /* choose no cold upstream: another gateway limits their rate */
+	/* Choose no cold or limited upstream: another gateway limits their rate. */
+	bool unlimited_only;
 	uint64_t avoid[ADMIT_MAX_AVOID]; /* upstreams that failed this request; unused: 0 */
 };
 
@@ -61,6 +64,8 @@
 	uint32_t waiting;
 	uint32_t slots;
 	uint32_t slowness; /* service time in per cent of the usual one, 0 if not reported */
+	bool answered;	   /* the upstream answered: `notice` is what it says now */
+	struct notice notice;
 };
 
 /* How the use of a slot ended. */
@@ -133,6 +138,11 @@
  */
 void admit_done(struct admit *a, clk_ms now, uint64_t slot, enum admit_outcome outcome,
 		clk_ms service, const struct admit_report *report);
+/*
+ * Records the limit of an upstream from an answer to a request whose slot another controller
+ * granted, for the time when this one takes over.
+ */
+void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report);
 /* Sets the mean service time of an upstream to the measurement of another admission controller. */
 void admit_set_service_time(struct admit *a, uint64_t num, clk_ms ms);
 /*
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -15,6 +15,13 @@
  * Service times vary, and in lasting overload a longer queue only delays the admitted requests.
  */
 #define TARGET_RESERVE_FACTOR 1.2
+/*
+ * A limit that no answer has repeated for this long is ignored: the upstream may have ended it, and
+ * only a request shows that.
+ */
+#define LIMIT_AGE_MS 10000
+/* Lowest limit, so that an upstream that names 0 still gets a request now and then. */
+#define MIN_LIMIT_PER_S 0.25
 /* Share of the mean service time that must be left before the deadline to start a request. */
 #define MIN_SERVICE_SHARE 0.6
 /* Time added for an upstream in another failure domain, as a share of the service time. */
@@ -33,16 +40,43 @@
 	return now - u->reported_at < ADMIT_REPORT_AGE_MS ? u->elsewhere : 0;
 }
 
-double admit_cold_tokens(const struct admit *a, const struct upstream *u, clk_ms now)
+static bool is_cold(const struct upstream *u, clk_ms now)
 {
-	double t = u->cold_tokens + (double)(now - u->cold_at) * a->opts.cold_per_second / 1000.0;
+	return now < u->conf.cold_until && !MUTANT(admit_ignore_cold);
+}
 
-	return t > ADMIT_COLD_BURST ? ADMIT_COLD_BURST : t;
+static bool is_limited(const struct upstream *u, clk_ms now)
+{
+	return now < u->limit_until && !MUTANT(admit_ignore_limit);
 }
 
-bool admit_is_cold(const struct upstream *u, clk_ms now)
+double admit_rate(const struct admit *a, const struct upstream *u, clk_ms now)
 {
-	return now < u->conf.cold_until && !MUTANT(admit_ignore_cold);
+	double rate = INFINITY;
+
+	if (is_cold(u, now))
+		rate = a->opts.cold_per_second;
+	if (is_limited(u, now) && u->limit < rate)
+		rate = u->limit;
+	return rate;
+}
+
+double admit_tokens(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	double rate = admit_rate(a, u, now);
+	double t;
+
+	if (isinf(rate))
+		return ADMIT_RATE_BURST;
+	t = u->tokens + (double)(now - u->tokens_at) * rate / 1000.0;
+	return t > ADMIT_RATE_BURST ? ADMIT_RATE_BURST : t;
+}
+
+bool admit_is_barred(const struct admit *a, const struct upstream *u, clk_ms now,
+		     const struct admit_request *request)
+{
+	return request->unlimited_only && !isinf(admit_rate(a, u, now)) &&
+	       !MUTANT(admit_ignore_bar);
 }
 
 bool admit_can_grant(const struct admit *a, const struct upstream *u, clk_ms now)
@@ -51,7 +85,7 @@
 
 	if (!admit_is_usable(u) || now < u->paused_until)
 		return false;
-	if (admit_is_cold(u, now) && admit_cold_tokens(a, u, now) < 1.0)
+	if (admit_tokens(a, u, now) < 1.0)
 		return false;
 	if (MUTANT(admit_over_slots))
 		return used < u->conf.slots + 4;
@@ -107,7 +141,7 @@
 		double ms;
 
 		if (!admit_can_grant(a, u, now) || is_avoided(request, u->num) ||
-		    (request->warm_only && admit_is_cold(u, now)))
+		    admit_is_barred(a, u, now, request))
 			continue;
 		ms = expected_service_ms(a, u, now);
 		if (u->conf.place != request->place)
@@ -138,12 +172,30 @@
 
 /* Slots of the upstream `only`, or of all if NULL. */
 struct capacity {
-	uint32_t slots;	 /* of usable upstreams that are not paused */
-	uint32_t idle;	 /* of these, the number that can be granted now */
-	uint32_t paused; /* of usable upstreams that are paused */
-	clk_ms resumes;	 /* end of the first pause */
+	double slots; /* of usable upstreams that are not paused, as far as their rate lets use them
+		       */
+	double idle;  /* of these, the number that can be granted now */
+	double paused;	/* of usable upstreams that are paused */
+	clk_ms resumes; /* end of the first pause */
 };
 
+/* Returns the slots of the upstream that its request rate lets use. */
+static double effective_slots(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	return fmin(u->conf.slots, admit_rate(a, u, now) * admit_mean_service(a, u) / 1000.0);
+}
+
+static double idle_slots(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	uint32_t used = u->in_use + admit_load_elsewhere(u, now);
+
+	if (used >= u->conf.slots)
+		return 0;
+	if (isinf(admit_rate(a, u, now)))
+		return u->conf.slots - used;
+	return fmin(u->conf.slots - used, fmax(admit_tokens(a, u, now), 0));
+}
+
 static struct capacity count_capacity(const struct admit *a, const struct upstream *only,
 				      clk_ms now)
 {
@@ -156,14 +208,13 @@
 		if (now < u->paused_until) {
 			if (MUTANT(admit_paused_is_gone))
 				continue;
-			c.paused += u->conf.slots;
+			c.paused += effective_slots(a, u, now);
 			if (u->paused_until < c.resumes)
 				c.resumes = u->paused_until;
 			continue;
 		}
-		c.slots += u->conf.slots;
-		if (admit_can_grant(a, u, now))
-			c.idle += u->conf.slots - u->in_use - admit_load_elsewhere(u, now);
+		c.slots += effective_slots(a, u, now);
+		c.idle += idle_slots(a, u, now);
 	}
 	return c;
 }
@@ -174,11 +225,11 @@
 	struct capacity c = count_capacity(a, only, now);
 	double service = admit_mean_service(a, only);
 
-	if (ahead < c.idle)
+	if (ahead + 1 <= c.idle)
 		return 0;
-	if (c.slots)
+	if (c.slots > 0)
 		return (clk_ms)((ahead - c.idle + 1) * service / c.slots);
-	if (!c.paused)
+	if (c.paused <= 0)
 		return ADMIT_OWNER_WAIT_MS;
 	/* All slots are free when the pause ends, unless requests sent before still run. */
 	return c.resumes - now + (clk_ms)(ahead * service / c.paused);
@@ -226,6 +277,29 @@
 	u->elsewhere = total > u->in_use ? total - u->in_use : 0;
 }
 
+bool admit_apply_limit(const struct admit *a, struct upstream *u, clk_ms now,
+		       const struct admit_report *r)
+{
+	bool was_limited = now < u->limit_until;
+	double tokens = admit_tokens(a, u, now);
+	double limit = fmax(r->notice.limit, MIN_LIMIT_PER_S);
+	bool stricter;
+
+	if (!r->answered)
+		return false;
+	if (!r->notice.limited) {
+		u->limit_until = 0;
+		return false;
+	}
+	stricter = !was_limited || limit < u->limit;
+	/* A bucket that starts empty does not add a burst to what was sent just before. */
+	u->tokens = was_limited ? tokens : fmin(tokens, 0);
+	u->tokens_at = now;
+	u->limit = limit;
+	u->limit_until = now + LIMIT_AGE_MS;
+	return stricter;
+}
+
 void admit_update_service_time(struct admit *a, struct upstream *u, clk_ms service,
 			       const struct admit_report *r)
 {
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -12,8 +12,8 @@
 #define ADMIT_USUAL_SLOWNESS 100.0
 /* Age after which a load report of an upstream is ignored. */
 #define ADMIT_REPORT_AGE_MS 250
-/* Burst of the token bucket that limits the request rate of a cold upstream. */
-#define ADMIT_COLD_BURST 2.0
+/* Burst of the token bucket that limits the request rate of a cold or limited upstream. */
+#define ADMIT_RATE_BURST 2.0
 /* Longest time that a request waits for its key to get an owner. */
 #define ADMIT_OWNER_WAIT_MS 700
 
@@ -64,8 +64,10 @@
 	clk_ms utilization_at; /* last update of `utilization` */
 	clk_ms paused_until;   /* no grants before this time, after a failure */
 	clk_ms pause;	       /* length of the last pause, 0 after a success */
-	double cold_tokens;    /* tokens of the cold rate limit at `cold_at` */
-	clk_ms cold_at;
+	double limit;	       /* requests per second that it takes, until `limit_until` */
+	clk_ms limit_until;
+	double tokens; /* of the bucket that limits its request rate, at `tokens_at` */
+	clk_ms tokens_at;
 	struct queue queue; /* keyed services: requests for keys that this upstream owns */
 	UT_hash_handle hh;
 };
@@ -97,10 +99,13 @@
 bool admit_is_usable(const struct upstream *u);
 /* Returns the requests at the upstream that other controllers granted, 0 if the report is old. */
 uint32_t admit_load_elsewhere(const struct upstream *u, clk_ms now);
-/* Returns the present number of tokens of the cold rate limit; a grant takes one. */
-double admit_cold_tokens(const struct admit *a, const struct upstream *u, clk_ms now);
-/* Whether the cold rate limit applies to the upstream. */
-bool admit_is_cold(const struct upstream *u, clk_ms now);
+/* Returns the requests per second that the upstream may get, INFINITY if that is not limited. */
+double admit_rate(const struct admit *a, const struct upstream *u, clk_ms now);
+/* Returns the present number of tokens of the rate limit; a grant takes one. */
+double admit_tokens(const struct admit *a, const struct upstream *u, clk_ms now);
+/* Whether the request must not go to the upstream, since its rate is limited elsewhere. */
+bool admit_is_barred(const struct admit *a, const struct upstream *u, clk_ms now,
+		     const struct admit_request *request);
 /* Whether a slot of the upstream can be granted now. */
 bool admit_can_grant(const struct admit *a, const struct upstream *u, clk_ms now);
 /* Returns the mean service time of an upstream, or of all usable upstreams if `u` is NULL. */
@@ -123,6 +128,9 @@
 void admit_pause(struct upstream *u, clk_ms now);
 /* Stores the load report of an answer; call before the slot of the answered request is freed. */
 void admit_apply_report(struct upstream *u, clk_ms now, const struct admit_report *r);
+/* Stores the limit that an answer names, or its end. Returns true if it begins or is lower now. */
+bool admit_apply_limit(const struct admit *a, struct upstream *u, clk_ms now,
+		       const struct admit_report *r);
 /* Updates the mean service time and the upstream's mean slowness from one answered request. */
 void admit_update_service_time(struct admit *a, struct upstream *u, clk_ms service,
 			       const struct admit_report *r);
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -296,7 +296,7 @@
 	log_info(&log, "lender of %s did not answer for %lld ms; deciding here", a->pool->service,
 		 (long long)(clk_now() - a->sent));
 	send_cancel(s, a);
-	a->slot_request.warm_only = true;
+	a->slot_request.unlimited_only = true;
 	a->fell_back = true;
 	request_locally(s, a);
 }
@@ -317,7 +317,7 @@
 
 	if (controller && controller != s->env.node && request_remotely(s, a, controller))
 		return;
-	a->slot_request.warm_only = controller != s->env.node;
+	a->slot_request.unlimited_only = controller != s->env.node;
 	request_locally(s, a);
 }
 
@@ -327,7 +327,7 @@
 	a->id = s->next_request++;
 	a->slot_request.node = s->env.node;
 	a->slot_request.id = a->id;
-	a->slot_request.warm_only = false;
+	a->slot_request.unlimited_only = false;
 	a->fell_back = false;
 	HASH_ADD(hh, s->requests, id, sizeof(a->id), a);
 	send_request(s, a);
@@ -370,6 +370,12 @@
 	msg.waiting = report->waiting;
 	msg.slots = report->slots;
 	msg.slowness = report->slowness;
+	msg.answered = report->answered;
+	msg.limited = report->notice.limited;
+	msg.limit = report->notice.limit;
+	/* This gateway may be the next controller. */
+	if (!MUTANT(slots_forget_limit))
+		admit_note_limit(permit->pool->admit, clk_now(), permit->upstream, report);
 	frame.body_case = BC__FRAME__BODY_SLOT_DONE;
 	frame.slot_done = &msg;
 	s->env.send(s->env.data, permit->controller, &frame);
@@ -404,7 +410,7 @@
 	 * owner's controller, only that gateway may grant its slots while the owner is cold.
 	 */
 	if (p->keyed) {
-		slot_request.warm_only =
+		slot_request.unlimited_only =
 			s->env.controller(s->env.data, p, slot_request.key) != s->env.node;
 		s->env.on_key(s->env.data, p->service, slot_request.key);
 	}
@@ -459,6 +465,8 @@
 		.waiting = msg->waiting,
 		.slots = msg->slots,
 		.slowness = msg->slowness,
+		.answered = msg->answered,
+		.notice = {.limited = msg->limited, .limit = msg->limit},
 	};
 
 	if (!p || msg->outcome > ADMIT_UNUSED)
@@ -507,7 +515,7 @@
 		HASH_ITER (hh, s->requests, a, tmp) {
 			if (a->controller != node)
 				continue;
-			a->slot_request.warm_only =
+			a->slot_request.unlimited_only =
 				s->env.controller(s->env.data, a->pool, a->slot_request.key) !=
 				s->env.node;
 			request_locally(s, a);
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -108,7 +108,7 @@
 				   const struct slot_permit *permit),
 			void *data);
 /*
- * Requests a slot. The caller sets all of `a->slot_request` but node, id and warm_only. The
+ * Requests a slot. The caller sets all of `a->slot_request` but node, id and unlimited_only. The
  * callback may be called before this function returns.
  */
 void slots_request(struct slots *s, struct slot_ask *a, struct slot_pool *pool);
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5657,7 +5657,7 @@
   (ProtobufCMessageInit) bc__slot_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_done__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bc__slot_done__field_descriptors[12] =
 {
   {
     "pool",
@@ -5767,8 +5767,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotDone, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotDone, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotDone, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__slot_done__field_indices_by_name[] = {
+  9,   /* field[9] = answered */
+  11,   /* field[11] = limit */
+  10,   /* field[10] = limited */
   2,   /* field[2] = outcome */
   0,   /* field[0] = pool */
   4,   /* field[4] = reported */
@@ -5782,7 +5821,7 @@
 static const ProtobufCIntRange bc__slot_done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bc__slot_done__descriptor =
 {
@@ -5792,7 +5831,7 @@
   "Bc__SlotDone",
   "bc",
   sizeof(Bc__SlotDone),
-  9,
+  12,
   bc__slot_done__field_descriptors,
   bc__slot_done__field_indices_by_name,
   1,  bc__slot_done__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -768,10 +768,19 @@
    * per cent of its usual service time
    */
   uint32_t slowness;
+  /*
+   * the upstream answered; `limited` and `limit` are what it says now
+   */
+  protobuf_c_boolean answered;
+  protobuf_c_boolean limited;
+  /*
+   * requests per second that it takes from all gateways
+   */
+  double limit;
 };
 #define BC__SLOT_DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__slot_done__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bc__KeyRange
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -304,12 +304,12 @@
 			 STR_ARG(value));
 }
 
-static void read_notice(struct forward *f, const struct upconn_answer *a)
+static void read_notice(struct forward *f, const struct upconn_answer *a, struct admit_report *out)
 {
-	struct notice notice;
-	bool valid = f->list->env.platform->notice(a, &notice);
+	bool valid = f->list->env.platform->notice(a, &out->notice);
 
-	fleet_note_notice(f->upstream, &notice, valid);
+	out->answered = true;
+	fleet_note_notice(f->upstream, &out->notice, valid);
 }
 
 /* Whether another instance answered: the address was reused after the upstream registered. */
@@ -370,7 +370,7 @@
 		return;
 	}
 	read_report(f, a, &report);
-	read_notice(f, a);
+	read_notice(f, a, &report);
 	if (is_not_run(f, a)) {
 		bool misplaced = a->status == 421;
 
--- a/test/unit_admit.c
+++ b/test/unit_admit.c
@@ -39,6 +39,7 @@
 	clk_ms busy_ms;	     /* time in use, summed over all slots */
 	uint64_t owner;	     /* upstream that owns every key */
 	bool shows_slowness; /* load reports carry the slowness */
+	double limit[16];    /* requests per second that the upstream names, 0: none */
 };
 
 static uint64_t owner_of(void *data, uint32_t key)
@@ -120,6 +121,9 @@
 		/* The running requests in a load report include the answered one. */
 		report.running = m->running[u];
 		report.slowness = m->shows_slowness ? m->slowness[u] : 0;
+		report.answered = true;
+		report.notice.limited = m->limit[u] > 0;
+		report.notice.limit = m->limit[u];
 		r->done = true;
 		m->running[u]--;
 		admit_done(m->admit, now, r->slot, ADMIT_OK, now - r->granted, &report);
@@ -361,13 +365,13 @@
 }
 END_TEST
 
-/* A warm_only request is refused if only a cold upstream has free slots. */
-START_TEST(warm_only_request_gets_no_cold_upstream)
+/* An unlimited_only request is refused if only a cold upstream has free slots. */
+START_TEST(unlimited_only_request_gets_no_cold_upstream)
 {
 	static struct model m;
 	struct admit_upstream cold = {.num = 1, .slots = 8, .usable = true, .cold_until = 4000};
 	struct admit_request request = {
-		.node = NODE, .id = 1, .deadline = 500, .target = 500, .warm_only = true};
+		.node = NODE, .id = 1, .deadline = 500, .target = 500, .unlimited_only = true};
 	struct admit_decision d;
 
 	model_init(&m, 1, 8, false);
@@ -492,9 +496,141 @@
 }
 END_TEST
 
+/* Returns the largest number of requests that the upstream got within `span` ms after `from`. */
+static uint32_t most_grants(const struct model *m, uint64_t upstream, clk_ms from, clk_ms span)
+{
+	uint32_t most = 0;
+
+	for (size_t i = 0; i < m->n; i++) {
+		clk_ms start = m->requests[i].granted;
+		uint32_t n = 0;
+
+		if (start < from || m->requests[i].upstream != upstream)
+			continue;
+		for (size_t k = i; k < m->n; k++) {
+			const struct model_request *r = &m->requests[k];
+
+			n += r->upstream == upstream && r->granted >= start &&
+			     r->granted < start + span;
+		}
+		if (n > most)
+			most = n;
+	}
+	return most;
+}
+
+/*
+ * The owner of every key names a limit far below what its slots bear. Guards against more requests
+ * than it takes, and against requests that wait in vain for a refusal.
+ */
+START_TEST(owner_gets_no_more_than_its_limit)
+{
+	static struct model m;
+	clk_ms longest = 0;
+
+	model_init(&m, 1, 4, true);
+	m.owner = 1;
+	m.limit[0] = 2;
+	for (clk_ms now = 0; now < 20000; now++)
+		step(&m, now, 20);
+	ck_assert_uint_le(most_grants(&m, 1, 1000, 4000), 2 * 4 + 3);
+	ck_assert_uint_ge(most_grants(&m, 1, 1000, 4000), 2 * 4 - 1);
+	for (size_t i = 0; i < m.n; i++) {
+		if (m.requests[i].refused && m.requests[i].arrived > 1000 &&
+		    m.requests[i].refused - m.requests[i].arrived > longest)
+			longest = m.requests[i].refused - m.requests[i].arrived;
+	}
+	ck_assert_msg(longest <= 5, "refused after %lld ms", (long long)longest);
+	admit_destroy(m.admit);
+}
+END_TEST
+
+/* Two of four upstreams name limits. Guards against refusals while the others have room. */
+START_TEST(others_serve_what_a_limited_upstream_does_not_take)
+{
+	static struct model m;
+	uint32_t refused = 0;
+
+	model_init(&m, 4, 4, false);
+	m.limit[0] = 1;
+	m.limit[1] = 1.5;
+	for (clk_ms now = 0; now < 20000; now++)
+		step(&m, now, 18);
+	ck_assert_uint_le(most_grants(&m, 1, 1000, 4000), 4 + 3);
+	ck_assert_uint_le(most_grants(&m, 2, 1000, 4000), 6 + 3);
+	for (size_t i = 0; i < m.n; i++)
+		refused += m.requests[i].refused != 0;
+	ck_assert_msg(refused * 50 <= m.n, "%u of %zu refused", refused, m.n);
+	admit_destroy(m.admit);
+}
+END_TEST
+
+/* Guards against a limit that outlives its end, and against 0 as the end of all requests. */
+START_TEST(limit_ends_with_the_answers_that_name_it)
+{
+	static struct model m;
+
+	model_init(&m, 1, 4, true);
+	m.owner = 1;
+	m.limit[0] = 1e-9;
+	for (clk_ms now = 0; now < 30000; now++)
+		step(&m, now, 20);
+	ck_assert_uint_ge(most_grants(&m, 1, 5000, 10000), 2);
+	ck_assert_uint_le(most_grants(&m, 1, 5000, 10000), 5);
+	m.limit[0] = 0;
+	for (clk_ms now = 30000; now < 45000; now++)
+		step(&m, now, 10);
+	ck_assert_uint_ge(most_grants(&m, 1, 36000, 4000), 30);
+	admit_destroy(m.admit);
+}
+END_TEST
+
+/*
+ * A gateway that is not the controller decides for a key of a limited owner. Guards against
+ * requests beyond the limit, and against one that waits in vain or holds up those behind it.
+ */
+START_TEST(limited_owner_gets_nothing_from_other_controllers)
+{
+	static struct model m;
+	struct admit_report report = {.answered = true, .notice = {.limited = true, .limit = 2}};
+	struct admit_request request = {.node = NODE, .deadline = 1500, .target = 1000};
+	struct admit_decision d;
+	uint64_t slot;
+	clk_ms now = 100;
+
+	model_init(&m, 1, 1, true);
+	m.owner = 1;
+	request.id = 1;
+	admit_request(m.admit, 0, &request);
+	ck_assert(admit_next(m.admit, 0, &d) && d.granted);
+	slot = d.slot;
+	request.id = 2;
+	request.unlimited_only = true;
+	admit_request(m.admit, 0, &request);
+	request.id = 3;
+	request.unlimited_only = false;
+	admit_request(m.admit, 0, &request);
+	ck_assert(!admit_next(m.admit, 0, &d));
+	admit_note_limit(m.admit, 1, 1, &report);
+	request.id = 4;
+	request.unlimited_only = true;
+	admit_request(m.admit, 1, &request);
+	ck_assert(admit_next(m.admit, 1, &d));
+	ck_assert(!d.granted && d.request == 2);
+	ck_assert(admit_next(m.admit, 1, &d));
+	ck_assert(!d.granted && d.request == 4);
+	admit_done(m.admit, now, slot, ADMIT_OK, 100, &report);
+	while (now < 700 && !admit_next(m.admit, now, &d))
+		now++;
+	ck_assert_msg(now >= 500 && now < 520 && d.granted && d.request == 3,
+		      "request %llu at %lld ms", (unsigned long long)d.request, (long long)now);
+	admit_destroy(m.admit);
+}
+END_TEST
+
 static const char *const mutants[] = {
-	"admit_no_refusal",  "admit_over_slots",     "admit_ignore_cold",
-	"admit_ignore_slow", "admit_paused_is_gone", NULL,
+	"admit_no_refusal",	"admit_over_slots",   "admit_ignore_cold", "admit_ignore_slow",
+	"admit_paused_is_gone", "admit_ignore_limit", "admit_ignore_bar",  NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -507,12 +643,16 @@
 	tcase_add_test(tc, slow_upstreams_get_few_requests);
 	tcase_add_test(tc, never_more_requests_than_slots);
 	tcase_add_test(tc, cold_upstream_rate_is_limited);
-	tcase_add_test(tc, warm_only_request_gets_no_cold_upstream);
+	tcase_add_test(tc, unlimited_only_request_gets_no_cold_upstream);
 	tcase_add_test(tc, requests_follow_the_owner);
 	tcase_add_test(tc, requests_for_ownerless_keys_are_refused_in_time);
 	tcase_add_test(tc, urgent_requests_are_preferred);
 	tcase_add_test(tc, unreturned_slots_expire);
 	tcase_add_test(tc, failing_upstream_is_paused);
+	tcase_add_test(tc, owner_gets_no_more_than_its_limit);
+	tcase_add_test(tc, others_serve_what_a_limited_upstream_does_not_take);
+	tcase_add_test(tc, limit_ends_with_the_answers_that_name_it);
+	tcase_add_test(tc, limited_owner_gets_nothing_from_other_controllers);
 }
 
 int main(int argc, char **argv)
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -370,7 +370,48 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"slots_keep_parked", NULL};
+/* Requests and returns slots as fast as the controller grants them; returns how many it granted. */
+static uint32_t use_slots(struct fixture *w, int gateway, int tries,
+			  const struct admit_report *report)
+{
+	uint32_t granted = 0;
+
+	for (int i = 0; i < tries; i++) {
+		struct outcome o;
+
+		slot_request(w, gateway, &o);
+		if (o.decided && o.granted) {
+			slots_done(w->gateways[gateway].slots, &o.permit, ADMIT_OK, 10, report);
+			granted++;
+		}
+		slots_request_release(w->gateways[gateway].slots, &o.slot_request);
+	}
+	return granted;
+}
+
+/*
+ * An upstream names a limit in an answer to a request of the second gateway, then the controller
+ * fails. Guards against a successor that begins without the limit, and against a gateway that sends
+ * requests by its own decision while the controller exists.
+ */
+START_TEST(successor_of_a_controller_knows_the_limit)
+{
+	const struct admit_report report = {.answered = true,
+					    .notice = {.limited = true, .limit = 0.5}};
+	struct fixture w;
+
+	setup(&w);
+	ck_assert_uint_ge(use_slots(&w, 1, 1, &report), 1);
+	ck_assert_uint_eq(use_slots(&w, 1, 20, &report), 0);
+	w.cut = true;
+	ck_assert_uint_eq(use_slots(&w, 1, 20, &report), 0);
+	w.controller = 2;
+	ck_assert_uint_le(use_slots(&w, 1, 20, &report), 1);
+	teardown(&w);
+}
+END_TEST
+
+static const char *const mutants[] = {"slots_keep_parked", "slots_forget_limit", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -380,6 +421,7 @@
 	tcase_add_test(tc, cancelled_request_takes_no_slot);
 	tcase_add_test(tc, ownerless_request_moves_to_the_controller);
 	tcase_add_test(tc, ownerless_requests_end_during_the_search);
+	tcase_add_test(tc, successor_of_a_controller_knows_the_limit);
 }
 
 int main(int argc, char **argv)
