slots: the shard manager plans with the limits of owners

Cause: the plan took an upstream for as able as its slots are. Reports of keys now carry the owner's limit if an answer named it within the last second, and the capacity is the smaller of both.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -621,7 +621,7 @@
 	return due;
 }
 
-bool admit_load_of(const struct admit *a, uint64_t num, struct admit_load *out)
+bool admit_load_of(const struct admit *a, uint64_t num, clk_ms now, struct admit_load *out)
 {
 	const struct upstream *u = upstream_find(a, num);
 
@@ -634,6 +634,8 @@
 		.queued = u->queue.len,
 		.service_ms = admit_mean_service(a, u),
 		.utilization = u->utilization,
+		.limit = admit_is_limited(u, now) ? u->limit : 0,
+		.limit_age = now - u->limit_named_at,
 	};
 	return true;
 }
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -170,10 +170,12 @@
 	uint32_t queued;    /* requests that wait for this upstream; keyed services only */
 	double service_ms;  /* mean service time */
 	double utilization; /* share of the slots in use, averaged over about a second */
+	double limit;	    /* requests per second that it takes, 0 if it names no limit */
+	clk_ms limit_age;   /* time since an answer named the limit */
 };
 
 /* Stores the load of an upstream in `out`; returns false if the upstream is unknown. */
-bool admit_load_of(const struct admit *a, uint64_t num, struct admit_load *out);
+bool admit_load_of(const struct admit *a, uint64_t num, clk_ms now, struct admit_load *out);
 /* Returns the number of waiting requests. */
 size_t admit_waiting_count(const struct admit *a);
 
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -45,9 +45,10 @@
 	return now < u->conf.cold_until && !MUTANT(admit_ignore_cold);
 }
 
-static bool is_limited(const struct upstream *u, clk_ms now)
+bool admit_is_limited(const struct upstream *u, clk_ms now)
 {
-	return now < u->limit_until && !MUTANT(admit_ignore_limit);
+	return u->limit > 0 && now - u->limit_named_at < LIMIT_AGE_MS &&
+	       !MUTANT(admit_ignore_limit);
 }
 
 double admit_rate(const struct admit *a, const struct upstream *u, clk_ms now)
@@ -56,7 +57,7 @@
 
 	if (is_cold(u, now))
 		rate = a->opts.cold_per_second;
-	if (is_limited(u, now) && u->limit < rate)
+	if (admit_is_limited(u, now) && u->limit < rate)
 		rate = u->limit;
 	return rate;
 }
@@ -280,7 +281,7 @@
 bool admit_apply_limit(const struct admit *a, struct upstream *u, clk_ms now,
 		       const struct admit_report *r)
 {
-	bool was_limited = now < u->limit_until;
+	bool was_limited = admit_is_limited(u, now);
 	double tokens = admit_tokens(a, u, now);
 	double limit = fmax(r->notice.limit, MIN_LIMIT_PER_S);
 	bool stricter;
@@ -288,7 +289,7 @@
 	if (!r->answered)
 		return false;
 	if (!r->notice.limited) {
-		u->limit_until = 0;
+		u->limit = 0;
 		return false;
 	}
 	stricter = !was_limited || limit < u->limit;
@@ -296,7 +297,7 @@
 	u->tokens = was_limited ? tokens : fmin(tokens, 0);
 	u->tokens_at = now;
 	u->limit = limit;
-	u->limit_until = now + LIMIT_AGE_MS;
+	u->limit_named_at = now;
 	return stricter;
 }
 
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -64,9 +64,9 @@
 	clk_ms utilization_at; /* last update of `utilization` */
 	clk_ms paused_until;   /* no grants before this time, after a failure */
 	clk_ms pause;	       /* length of the last pause, 0 after a success */
-	double limit;	       /* requests per second that it takes, until `limit_until` */
-	clk_ms limit_until;
-	double tokens; /* of the bucket that limits its request rate, at `tokens_at` */
+	double limit;	       /* requests per second that it takes, 0: it named none */
+	clk_ms limit_named_at; /* last answer that named `limit` */
+	double tokens;	       /* of the bucket that limits its request rate, at `tokens_at` */
 	clk_ms tokens_at;
 	struct queue queue; /* keyed services: requests for keys that this upstream owns */
 	UT_hash_handle hh;
@@ -99,6 +99,8 @@
 bool admit_is_usable(const struct upstream *u);
 /* Returns the requests at the upstream that other controllers granted, 0 if the report is old. */
 uint32_t admit_load_elsewhere(const struct upstream *u, clk_ms now);
+/* Whether a recent answer of the upstream named a limit. */
+bool admit_is_limited(const struct upstream *u, clk_ms now);
 /* Returns the requests per second that the upstream may get, INFINITY if that is not limited. */
 double admit_rate(const struct admit *a, const struct upstream *u, clk_ms now);
 /* Returns the present number of tokens of the rate limit; a grant takes one. */
--- a/src/process/gateway_key.c
+++ b/src/process/gateway_key.c
@@ -251,13 +251,16 @@
 	for (size_t i = 0; i < s->n_request_keys; i++) {
 		uint64_t owner = shardmgr_owner(s->shardmgr, s->request_keys[i]);
 		Bc__UpstreamSpeed *speed;
+		struct slots_speed known;
 
 		if (!owner || contains_upstream(msg->upstreams, msg->n_upstreams, owner))
 			continue;
 		speed = arena_alloc(a, sizeof(*speed));
 		*speed = (Bc__UpstreamSpeed)BC__UPSTREAM_SPEED__INIT;
 		speed->num = owner;
-		speed->service_ms = (uint32_t)slots_service_ms(g->slots, s->name, owner);
+		known = slots_speed_of(g->slots, s->name, owner);
+		speed->service_ms = (uint32_t)known.service_ms;
+		speed->limit = known.limit;
 		msg->upstreams[msg->n_upstreams++] = speed;
 	}
 }
@@ -304,9 +307,12 @@
 		if (msg->keys[i] < g->platform->key_space)
 			shardmgr_record_request(s->shardmgr, msg->keys[i]);
 	}
-	for (size_t i = 0; i < msg->n_upstreams; i++)
-		slots_note_service_ms(g->slots, s->name, msg->upstreams[i]->num,
-				      msg->upstreams[i]->service_ms);
+	for (size_t i = 0; i < msg->n_upstreams; i++) {
+		const struct slots_speed speed = {msg->upstreams[i]->service_ms,
+						  msg->upstreams[i]->limit};
+
+		slots_note_speed(g->slots, s->name, msg->upstreams[i]->num, &speed);
+	}
 }
 
 bool gateway_on_key_frame(struct gateway *g, uint64_t from, const Bc__Frame *frame)
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -15,6 +15,8 @@
  */
 #define SAME_REGION_ACK_TIMEOUT_MS 120
 #define CROSS_REGION_ACK_TIMEOUT_MS 250
+/* A limit is reported to the shard manager only if an answer named it within this time. */
+#define LIMIT_REPORT_AGE_MS 1000
 /* Expected service time of a service before its first answer. */
 #define INITIAL_SERVICE_MS 200
 
@@ -536,30 +538,48 @@
 	timer_arm(&p->timer, 0);
 }
 
-clk_ms slots_service_ms(struct slots *s, const char *service, uint64_t upstream)
+struct slots_speed slots_speed_of(struct slots *s, const char *service, uint64_t upstream)
 {
 	struct slot_pool *p = pool_find(s, pool_id(str_from(service), STR_NULL));
+	struct slots_speed speed = {0};
 	struct admit_load load;
 
-	return p && admit_load_of(p->admit, upstream, &load) ? (clk_ms)load.service_ms : 0;
+	if (!p || !admit_load_of(p->admit, upstream, clk_now(), &load))
+		return speed;
+	speed.service_ms = (clk_ms)load.service_ms;
+	if (load.limit_age < LIMIT_REPORT_AGE_MS)
+		speed.limit = load.limit;
+	return speed;
 }
 
-void slots_note_service_ms(struct slots *s, const char *service, uint64_t upstream, clk_ms ms)
+void slots_note_speed(struct slots *s, const char *service, uint64_t upstream,
+		      const struct slots_speed *speed)
 {
 	struct slot_pool *p = pool_find(s, pool_id(str_from(service), STR_NULL));
+	struct admit_report report = {
+		.answered = true,
+		.notice = {.limited = true, .limit = speed->limit},
+	};
 
-	if (p && ms > 0)
-		admit_set_service_time(p->admit, upstream, ms);
+	if (p && speed->service_ms > 0)
+		admit_set_service_time(p->admit, upstream, speed->service_ms);
+	if (p && speed->limit > 0)
+		admit_note_limit(p->admit, clk_now(), upstream, &report);
 }
 
 double slots_capacity(struct slots *s, const char *service, uint64_t upstream)
 {
 	struct slot_pool *p = pool_find(s, pool_id(str_from(service), STR_NULL));
 	struct admit_load load;
+	double per_second;
 
-	if (!p || !admit_load_of(p->admit, upstream, &load) || load.service_ms <= 0 || !load.slots)
+	if (!p || !admit_load_of(p->admit, upstream, clk_now(), &load) || load.service_ms <= 0 ||
+	    !load.slots)
 		return 1;
-	return load.slots * 1000.0 / load.service_ms;
+	per_second = load.slots * 1000.0 / load.service_ms;
+	if (load.limit > 0 && load.limit < per_second && !MUTANT(slots_plan_without_limit))
+		per_second = load.limit;
+	return per_second;
 }
 
 /* ---- configuration -------------------------------------------------------------------------- */
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -122,14 +122,21 @@
 
 /* Schedules the move of waiting requests after owners of keys changed. */
 void slots_owners_changed(struct slots *s, const char *service);
-/* Returns the mean service time of an upstream of a keyed service, 0 if unknown. */
-clk_ms slots_service_ms(struct slots *s, const char *service, uint64_t upstream);
+/* What a controller knows of an upstream that the shard manager plans with. */
+struct slots_speed {
+	clk_ms service_ms; /* mean service time, 0 if unknown */
+	double limit;	   /* requests per second that it takes by a recent answer, 0: none named */
+};
+
+/* Returns the speed of an upstream of a keyed service. */
+struct slots_speed slots_speed_of(struct slots *s, const char *service, uint64_t upstream);
+/* Applies what another controller reported; unknown values are ignored. */
+void slots_note_speed(struct slots *s, const char *service, uint64_t upstream,
+		      const struct slots_speed *speed);
 /*
- * Sets the mean service time of an upstream of a keyed service to the measurement of another
- * controller; 0 is ignored.
+ * Returns the requests per second that an upstream of a keyed service can answer and takes, 1 if
+ * unknown.
  */
-void slots_note_service_ms(struct slots *s, const char *service, uint64_t upstream, clk_ms ms);
-/* Returns the requests per second that an upstream of a keyed service can answer, 1 if unknown. */
 double slots_capacity(struct slots *s, const char *service, uint64_t upstream);
 
 /* Handles a slot message from another gateway: a request, reply, cancellation or return. */
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6107,7 +6107,7 @@
   (ProtobufCMessageInit) bc__key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[3] =
 {
   {
     "num",
@@ -6133,15 +6133,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bc__UpstreamSpeed, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__upstream_speed__field_indices_by_name[] = {
+  2,   /* field[2] = limit */
   0,   /* field[0] = num */
   1,   /* field[1] = service_ms */
 };
 static const ProtobufCIntRange bc__upstream_speed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bc__upstream_speed__descriptor =
 {
@@ -6151,7 +6164,7 @@
   "Bc__UpstreamSpeed",
   "bc",
   sizeof(Bc__UpstreamSpeed),
-  2,
+  3,
   bc__upstream_speed__field_descriptors,
   bc__upstream_speed__field_indices_by_name,
   1,  bc__upstream_speed__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -870,10 +870,14 @@
    * mean
    */
   uint32_t service_ms;
+  /*
+   * requests per second that it takes by its last answers, 0: it names none
+   */
+  double limit;
 };
 #define BC__UPSTREAM_SPEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__upstream_speed__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -411,7 +411,34 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"slots_keep_parked", "slots_forget_limit", NULL};
+/*
+ * A controller reports an owner's limit to the shard manager. Guards against a plan that leaves an
+ * upstream the keys that its slots could bear, while it turns their requests away.
+ */
+START_TEST(capacity_of_a_limited_owner_is_its_limit)
+{
+	const struct slots_speed limited = {.service_ms = 100, .limit = 2};
+	const struct slots_speed silent = {.service_ms = 100};
+	struct fixture w;
+	struct slots *s;
+	uint64_t u1 = fleet_num(STR_LIT("u1"));
+
+	setup_service(&w, true);
+	s = w.gateways[0].slots;
+	slots_note_speed(s, "s", u1, &silent);
+	ck_assert(slots_capacity(s, "s", u1) > 9);
+	slots_note_speed(s, "s", u1, &limited);
+	ck_assert(slots_capacity(s, "s", u1) < 2.1);
+	/* A report without a limit may come from a gateway that has not heard of it. */
+	slots_note_speed(s, "s", u1, &silent);
+	ck_assert(slots_capacity(s, "s", u1) < 2.1);
+	ck_assert(slots_speed_of(s, "s", u1).limit > 1.9);
+	teardown(&w);
+}
+END_TEST
+
+static const char *const mutants[] = {"slots_keep_parked", "slots_forget_limit",
+				      "slots_plan_without_limit", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -422,6 +449,7 @@
 	tcase_add_test(tc, ownerless_request_moves_to_the_controller);
 	tcase_add_test(tc, ownerless_requests_end_during_the_search);
 	tcase_add_test(tc, successor_of_a_controller_knows_the_limit);
+	tcase_add_test(tc, capacity_of_a_limited_owner_is_its_limit);
 }
 
 int main(int argc, char **argv)
