--- a/standin/standin_keyed.c
+++ b/standin/standin_keyed.c
@@ -2,9 +2,10 @@
  * Stand-in for an upstream on the platform that runs requests only for the keys it has a lease on
  * (with --keyed). It checks the fencing tokens of grants, returns each request's attempt id, and
  * adds the header x-response-seal to its answers. Fault switches on the control port:
- * POST /control {"shed":2,"drop_answers":1,"unsigned":1,"work_ms":50}; GET /counts returns
- * counters. With --ledger FILE it appends a line to the file for its start, each run, grant and
- * release.
+ * POST /control {"shed":2,"drop_answers":1,"unsigned":1,"work_ms":50}; "limit", "leaving" and
+ * "retry_after" are texts that its answers have in the headers server-limit, server-leaving and, if
+ * they are 503, retry-after, until the text is empty. GET /counts returns counters. With --ledger
+ * FILE it appends a line to the file for its start, each run, grant and release.
  */
 #include <argtable2.h>
 #include <jansson.h>
@@ -20,6 +21,8 @@
 
 #define KEY_SPACE 65536
 #define MAX_IDS 4096
+#define HEADER_TEXT_BYTES 64
+#define MAX_HEADERS 8
 
 static struct {
 	h2o_loop_t *loop;
@@ -32,6 +35,10 @@
 	int shed_remaining; /* number of next requests to refuse with 503 without running them */
 	int drop_answers_remaining; /* number of next requests to run without a normal answer */
 	int unsigned_remaining;	    /* number of next answers without x-response-seal */
+	char limit[HEADER_TEXT_BYTES];
+	char leaving[HEADER_TEXT_BYTES];
+	char retry_after[HEADER_TEXT_BYTES];
+	size_t arrived; /* requests, run or refused */
 	size_t runs;
 	size_t running;
 	size_t misplaced;   /* refused with 421: another instance is expected, or no key lease */
@@ -102,12 +109,27 @@
 		server.refused_again++;
 }
 
+/* Adds the headers in which the upstream speaks of itself; returns the new number of headers. */
+static size_t add_notice(struct ingress_header *headers, size_t n, int status)
+{
+	if (server.limit[0])
+		headers[n++] =
+			(struct ingress_header){STR_LIT("server-limit"), str_from(server.limit)};
+	if (server.leaving[0])
+		headers[n++] = (struct ingress_header){STR_LIT("server-leaving"),
+						       str_from(server.leaving)};
+	if (server.retry_after[0] && status == 503)
+		headers[n++] = (struct ingress_header){STR_LIT("retry-after"),
+						       str_from(server.retry_after)};
+	return n;
+}
+
 static void on_job_done(struct timer *timer, void *data)
 {
 	struct job *job = data;
 	struct ingress_request *req = job->req;
 	struct arena *a = &req->arena;
-	struct ingress_header headers[4] = {
+	struct ingress_header headers[MAX_HEADERS] = {
 		{STR_LIT("x-attempt-id"), ingress_header(req, "x-attempt-id")},
 		{STR_LIT("x-backend-load"), arena_printf(a, "%zu,0,2,100", server.running)},
 		{STR_LIT("x-served-by"), str_from(server.id)},
@@ -123,6 +145,7 @@
 		server.unsigned_remaining--;
 		n = 3;
 	}
+	n = add_notice(headers, n, 200);
 	ingress_reply(req, 200, headers, n,
 		      arena_printf(a, "%s ran %.*s\n", server.id, STR_ARG(req->path)), false);
 	ingress_request_free(req);
@@ -131,13 +154,13 @@
 /* Answers with `x-not-executed: 1`, which tells the router that the request has not run. */
 static void refuse(struct ingress_request *req, int status)
 {
-	struct ingress_header headers[3] = {
+	struct ingress_header headers[MAX_HEADERS] = {
 		{STR_LIT("x-not-executed"), STR_LIT("1")},
 		{STR_LIT("x-attempt-id"), ingress_header(req, "x-attempt-id")},
 		{STR_LIT("x-instance-id"), str_from(server.id)},
 	};
 
-	ingress_reply(req, status, headers, 3, STR_NULL, false);
+	ingress_reply(req, status, headers, add_notice(headers, 3, status), STR_NULL, false);
 	ingress_request_free(req);
 }
 
@@ -224,7 +247,10 @@
 	req->data = NULL;
 	if (str_eq_cstr(req->path, "/-/grant") || str_eq_cstr(req->path, "/-/release")) {
 		on_lease_order(req, str_eq_cstr(req->path, "/-/grant"));
-	} else if (!str_eq_cstr(expected, server.id) || !has_key_lease(req)) {
+		return;
+	}
+	server.arrived++;
+	if (!str_eq_cstr(expected, server.id) || !has_key_lease(req)) {
 		record_misplaced(ingress_header(req, "x-attempt-id"));
 		refuse(req, 421);
 	} else if (server.shed_remaining > 0) {
@@ -256,6 +282,14 @@
 		*out = (int)json_integer_value(value);
 }
 
+static void read_text(const json_t *root, const char *name, char out[HEADER_TEXT_BYTES])
+{
+	const char *text = json_string_value(json_object_get(root, name));
+
+	if (text)
+		snprintf(out, HEADER_TEXT_BYTES, "%s", text);
+}
+
 static void on_control(void *data, struct ingress_request *req)
 {
 	json_error_t json_err;
@@ -267,17 +301,21 @@
 		read_switch(root, "shed", &server.shed_remaining);
 		read_switch(root, "drop_answers", &server.drop_answers_remaining);
 		read_switch(root, "unsigned", &server.unsigned_remaining);
+		read_text(root, "limit", server.limit);
+		read_text(root, "leaving", server.leaving);
+		read_text(root, "retry_after", server.retry_after);
 		if (json_object_get(root, "work_ms"))
 			server.work_ms = (clk_ms)integer_member(root, "work_ms");
 		json_decref(root);
 		reply_text(req, 200, STR_LIT("{}\n"));
 		return;
 	}
-	root = json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "runs", (json_int_t)server.runs, "running",
-		(json_int_t)server.running, "misplaced", (json_int_t)server.misplaced, "grants",
-		(json_int_t)server.grants, "cancelled", (json_int_t)server.cancelled, "repeated",
-		(json_int_t)server.repeated, "refused-again", (json_int_t)server.refused_again);
+	root = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "arrived", (json_int_t)server.arrived,
+			 "runs", (json_int_t)server.runs, "running", (json_int_t)server.running,
+			 "misplaced", (json_int_t)server.misplaced, "grants",
+			 (json_int_t)server.grants, "cancelled", (json_int_t)server.cancelled,
+			 "repeated", (json_int_t)server.repeated, "refused-again",
+			 (json_int_t)server.refused_again);
 	text = json_dumps(root, JSON_COMPACT);
 	reply_text(req, 200, str_from(text));
 	free(text);
