gateway: requests without a caller are freed before the server that they came through

What operators saw: at the end of a planned stop with an order still at its upstream, the gateway read and wrote freed memory (heap-use-after-free in ingress_request_free, from forward_list_destroy); it could end by a crash.

Cause: the server for callers was freed first, and an order that is left to finish without its caller still counted its body there. Connections are closed first now, the server is freed last.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -826,7 +826,7 @@
 	return in->n_conns;
 }
 
-void ingress_destroy(struct ingress *in)
+void ingress_close(struct ingress *in)
 {
 	struct ingress_conn *c;
 
@@ -837,5 +837,10 @@
 		in->conns = c->next;
 		conn_free(c);
 	}
+}
+
+void ingress_destroy(struct ingress *in)
+{
+	ingress_close(in);
 	free(in);
 }
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -85,6 +85,8 @@
  * Closes all connections and the listening socket; calls on_caller_closed() for each request that
  * the handler has not responded to.
  */
+void ingress_close(struct ingress *in);
+/* Calls ingress_close() and frees `in`. The handler must have freed all requests, or in the call. */
 void ingress_destroy(struct ingress *in);
 
 /* Returns the value of a request header, STR_NULL if absent. `name` is in lower case. */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -553,10 +553,12 @@
 	struct gateway_service *s;
 	struct gateway_service *tmp;
 
+	/* Requests that are left to finish without their caller refer to `callers`. */
+	ingress_close(g->callers);
+	forward_list_destroy(g->forwards);
 	ingress_destroy(g->callers);
 	ingress_destroy(g->ready);
 	ingress_destroy(g->metrics);
-	forward_list_destroy(g->forwards);
 	HASH_ITER (hh, g->services, s, tmp) {
 		shardmgr_destroy(s->shardmgr);
 		HASH_DEL(g->services, s);
