forward: a request that comes late in a planned stop is passed on only if it can end in time

Cause: until 0.7 s before the end the stop did not change what is passed on. Now the list of requests knows when the process ends: a request that comes whole more than 3 s after the stop began needs a deadline before the end; one that came before has to be expected to end by its latency objective; others are refused at once as not run, since another gateway serves them. It holds for first tries, retries and requests that get their slot late.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -396,6 +396,7 @@
 	g->draining = true;
 	g->drain_since = now;
 	ingress_drain(g->callers);
+	forward_begin_stop(g->forwards, now, now + g->settings.stop_grace - STOP_MARGIN_MS);
 	for (s = g->services; s; s = s->hh.next) {
 		if (s->shardmgr)
 			shardmgr_resign(s->shardmgr);
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -31,6 +31,11 @@
 /* Retry-After when a link has no room for large bodies, and a part that varies by request. */
 #define RETRY_AFTER_LINK_MS 800
 #define RETRY_AFTER_LINK_JITTER_MS 800
+/*
+ * Requests that come whole later than this in a planned stop were sent after the balancer had taken
+ * the gateway out, or slowly.
+ */
+#define STOP_LATE_MS 3000
 
 static const struct log log = {"forward"};
 CTR(ctr_requests, "forward_requests_total", "Requests of callers.");
@@ -84,7 +89,9 @@
 	struct forward *forwards;
 	struct crash_checker *checker;
 	size_t open;
-	bool stopping; /* after forward_close() */
+	clk_ms late_from; /* in a planned stop, requests that come whole after this are late */
+	clk_ms ends_at;	  /* end of the process, CLK_NEVER if no stop is under way */
+	bool stopping;	  /* after forward_close() */
 };
 
 static void request_slot(struct forward *f);
@@ -526,6 +533,19 @@
 
 /* ---- slots ---------------------------------------------------------------------------------- */
 
+/*
+ * Whether the answer can be expected before a planned stop ends: for a late request only if even
+ * its deadline lies before the end, for others by the latency objective.
+ */
+static bool fits_stop(const struct forward *f)
+{
+	const struct forward_list *l = f->list;
+
+	if (f->deadline <= l->ends_at || MUTANT(forward_pass_late))
+		return true;
+	return f->req->arrived < l->late_from && clk_now() + f->route->target <= l->ends_at;
+}
+
 /* Whether the upstream is in a region that may serve the route. */
 static bool upstream_is_home(const struct forward *f, const struct fleet_upstream *u)
 {
@@ -539,6 +559,11 @@
 	struct fleet_upstream *u = fleet_find(l->env.fleet, permit->upstream);
 	struct admit_report none = {0};
 
+	if (!fits_stop(f)) {
+		slots_done(l->env.slots, permit, ADMIT_UNUSED, 0, &none);
+		request_slot(f); /* refuses it */
+		return;
+	}
 	if (!u || !u->conns || !fleet_is_usable(u, clk_now()) || !upstream_is_home(f, u)) {
 		slots_done(l->env.slots, permit, ADMIT_UNUSED, 0, &none);
 		f->why = "upstream-left";
@@ -614,7 +639,7 @@
 	struct forward_list *l = f->list;
 	struct slot_pool *pool = slots_pool(l->env.slots, f->service->name, f->region);
 
-	if (l->stopping) {
+	if (l->stopping || !fits_stop(f)) {
 		f->why = f->why ? f->why : "stopping";
 		give_up(f, "this gateway stops; ask another one", RETRY_AFTER_DEFAULT_MS);
 		return;
@@ -734,6 +759,12 @@
 	request_slot(f);
 }
 
+void forward_begin_stop(struct forward_list *l, clk_ms now, clk_ms end)
+{
+	l->late_from = now + STOP_LATE_MS;
+	l->ends_at = end;
+}
+
 void forward_close(struct forward_list *l)
 {
 	struct forward *next;
@@ -775,6 +806,7 @@
 	if (!l)
 		abort();
 	l->env = *env;
+	l->ends_at = CLK_NEVER;
 	crash_env = (struct crash_env){env->loop, env->fleet, env->data, env->on_crash};
 	l->checker = crash_checker_create(&crash_env);
 	return l;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -58,6 +58,11 @@
 /* Returns the number of open requests, including those whose caller has disconnected. */
 size_t forward_list_open(const struct forward_list *l);
 
+/*
+ * A planned stop begins; the process ends at `end`. From now on a request is passed on only if its
+ * answer can be expected by then; others are refused at once, since another gateway can serve them.
+ */
+void forward_begin_stop(struct forward_list *l, clk_ms now, clk_ms end);
 /*
  * Prepares for the end of the process: refuses the requests that are not at an upstream now, and
  * sends no request from then on.
