test: refusals that are written once more, and heads that break off

Script faulty: an upstream leaves out 1 to 60 last bytes of an answer's head, with and without a content-length (18 orders, 18 times 502); on a kept connection it writes an earlier refusal once more before the answer, with its id (6 times the right answer) or without one (6 times 502, not refused as not run). Mutants upconn_accept_other_id (503 in their place) and upconn_accept_cut_head (200 with an empty body).

--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -390,6 +390,8 @@
 	struct upconn_conn *c = sock->data;
 	struct upconn_call *call = c->call;
 
+	if (err && !call->have_head && MUTANT(upconn_accept_cut_head))
+		push_back_input(sock, "\r\n\r\n", 4);
 	for (;;) {
 		while (!call->have_head && sock->input->size) {
 			enum step step = read_head(call, sock);
