fleet, gateway: an upstream that says that it leaves gets nothing more

What upstreams saw: an upstream whose answers said Server-Leaving got requests until its registration said so, and while the store was away for as long as it lived.

Cause: nobody read the header. The gateway that gets such an answer now stops at once (first tries, retries, requests that wait for it), sends the frame LEAVING with the start time of the process to all gateways, through hubs where needed, and the shard manager moves its keys as for a drained registration. Only another process that registers is used again. Peers count from registered gateways only.

--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -121,6 +121,7 @@
 	if (is_new) {
 		u->displaced_until = 0;
 		u->notice = (struct notice){0};
+		u->leaving = false;
 		u->invalid_notice_known = false;
 		f->handlers.on_new(f->data, u);
 	}
@@ -182,8 +183,18 @@
 
 bool fleet_is_usable(const struct fleet_upstream *u, clk_ms now)
 {
-	return !u->draining && !u->evacuated && now < u->removed_at &&
-	       (now >= u->displaced_until || MUTANT(fleet_ignore_displaced));
+	return !u->draining && (!u->leaving || MUTANT(fleet_ignore_leaving)) && !u->evacuated &&
+	       now < u->removed_at && (now >= u->displaced_until || MUTANT(fleet_ignore_displaced));
+}
+
+static bool set_leaving(struct fleet_upstream *u)
+{
+	if (u->leaving)
+		return false;
+	u->leaving = true;
+	ctr_inc(&ctr_leaving);
+	log_info(&log, "upstream %s of %s says that it leaves", u->id, u->service);
+	return true;
 }
 
 static void log_limit(const struct fleet_upstream *u, const struct notice *n)
@@ -198,7 +209,7 @@
 	}
 }
 
-void fleet_note_notice(struct fleet_upstream *u, const struct notice *n, bool valid)
+bool fleet_note_notice(struct fleet_upstream *u, const struct notice *n, bool valid)
 {
 	if (!valid && !u->invalid_notice_known) {
 		u->invalid_notice_known = true;
@@ -208,16 +219,20 @@
 			 u->id, u->service);
 	}
 	log_limit(u, n);
-	if (n->leaving && !u->notice.leaving) {
-		ctr_inc(&ctr_leaving);
-		log_info(&log, "upstream %s of %s says that it leaves", u->id, u->service);
-	}
 	if (n->retry_after) {
 		ctr_inc(&ctr_turned_away);
 		log_info(&log, "upstream %s of %s wants no requests for %lld ms", u->id, u->service,
 			 (long long)n->retry_after);
 	}
 	u->notice = *n;
+	return n->leaving && set_leaving(u);
+}
+
+bool fleet_note_leaving(struct fleet *f, uint64_t num, int64_t started)
+{
+	struct fleet_upstream *u = fleet_find(f, num);
+
+	return u && u->started == started && set_leaving(u);
 }
 
 void fleet_note_displaced(struct fleet_upstream *u, clk_ms now)
--- a/src/process/fleet.h
+++ b/src/process/fleet.h
@@ -47,6 +47,7 @@
 	clk_ms displaced_until;
 	bool was_usable;	   /* at the last fleet_tick() */
 	struct notice notice;	   /* of its last answer */
+	bool leaving;		   /* its process said in an answer that it ends soon */
 	bool invalid_notice_known; /* the log has that its notices have invalid values */
 	bool in_full_read;	   /* contained in the full read that is being applied */
 	uint32_t users;		   /* references, see fleet_hold() */
@@ -89,8 +90,17 @@
  */
 void fleet_note_displaced(struct fleet_upstream *u, clk_ms now);
 
-/* Records what the upstream said in an answer; `valid`: all of it could be read. */
-void fleet_note_notice(struct fleet_upstream *u, const struct notice *notice, bool valid);
+/*
+ * Records what the upstream said in an answer; `valid`: all of it could be read. Returns true if it
+ * said for the first time that it leaves.
+ */
+bool fleet_note_notice(struct fleet_upstream *u, const struct notice *notice, bool valid);
+/*
+ * Records that the process of the upstream with this start time said that it leaves. It gets no new
+ * requests, whatever its registration says, until another process registers. Returns true if that
+ * is new.
+ */
+bool fleet_note_leaving(struct fleet *f, uint64_t num, int64_t started);
 
 /* Returns the upstream with this number, NULL if unknown. */
 struct fleet_upstream *fleet_find(const struct fleet *f, uint64_t num);
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -196,6 +196,21 @@
 	gateway_broadcast(g, &frame);
 }
 
+static void on_leaving(void *data, struct fleet_upstream *u)
+{
+	struct gateway *g = data;
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__Leaving msg = BC__LEAVING__INIT;
+
+	msg.upstream = u->num;
+	msg.started = u->started;
+	msg.relay = !g->is_hub; /* a hub is connected to all gateways */
+	frame.body_case = BC__FRAME__BODY_LEAVING;
+	frame.leaving = &msg;
+	gateway_broadcast(g, &frame);
+	gateway_sync_services(g);
+}
+
 /* ---- upstreams ------------------------------------------------------------------------------ */
 
 static struct topo *current_topo(void *data)
@@ -222,6 +237,7 @@
 		.return_retry = return_retry,
 		.may_cross = gateway_may_cross_link,
 		.on_misplaced = on_misplaced,
+		.on_leaving = on_leaving,
 		.on_crash = on_crash,
 	};
 }
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -318,28 +318,48 @@
 	return best;
 }
 
-/* Counts a crash; passes it on to gateways that are not connected to the sender. */
-static void on_crash_frame(struct gateway *g, uint64_t from, const Bc__Crash *msg)
+/* Passes a frame on to the gateways that are not connected to its sender and rely on this hub. */
+static void relay_to_region(struct gateway *g, uint64_t sender, Bc__Frame *frame)
 {
-	Bc__Frame frame = BC__FRAME__INIT;
-	Bc__Crash copy = BC__CRASH__INIT;
 	struct gateway_peer *p;
 	struct gateway_peer *tmp;
 
-	quarantine_crash(g->crashes, clk_now(), msg->fingerprint, msg->upstream);
-	if (!msg->relay || !g->is_hub)
+	if (!g->is_hub)
 		return;
-	copy.fingerprint = msg->fingerprint;
-	copy.upstream = msg->upstream;
-	frame.body_case = BC__FRAME__BODY_CRASH;
-	frame.crash = &copy;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
-		if (!p->hub && p->node != from && gateway_in_same_region(g, p) &&
+		if (!p->hub && p->node != sender && gateway_in_same_region(g, p) &&
 		    gateway_relay_of(g, p->id) == g->node)
-			gateway_send(g, p->node, &frame);
+			gateway_send(g, p->node, frame);
 	}
 }
 
+static void on_crash_frame(struct gateway *g, uint64_t from, const Bc__Crash *msg)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__Crash copy = *msg;
+
+	quarantine_crash(g->crashes, clk_now(), msg->fingerprint, msg->upstream);
+	copy.relay = false;
+	frame.body_case = BC__FRAME__BODY_CRASH;
+	frame.crash = &copy;
+	if (msg->relay)
+		relay_to_region(g, from, &frame);
+}
+
+static void on_leaving_frame(struct gateway *g, uint64_t from, const Bc__Leaving *msg)
+{
+	Bc__Frame frame = BC__FRAME__INIT;
+	Bc__Leaving copy = *msg;
+
+	if (fleet_note_leaving(g->fleet, msg->upstream, msg->started))
+		gateway_sync_services(g);
+	copy.relay = false;
+	frame.body_case = BC__FRAME__BODY_LEAVING;
+	frame.leaving = &copy;
+	if (msg->relay)
+		relay_to_region(g, from, &frame);
+}
+
 static void on_frame(void *data, const struct peer_info *from, const Bc__Frame *frame)
 {
 	struct gateway *g = data;
@@ -364,6 +384,10 @@
 	case BC__FRAME__BODY_CRASH:
 		on_crash_frame(g, from->node, frame->crash);
 		break;
+	case BC__FRAME__BODY_LEAVING:
+		if (p && is_registered(g, p))
+			on_leaving_frame(g, from->node, frame->leaving);
+		break;
 	default:
 		if (!gateway_on_key_frame(g, from->node, frame))
 			slots_on_frame(g->slots, from->node, frame);
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -2212,6 +2212,51 @@
   assert(message->base.descriptor == &bc__crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bc__leaving__init
+                     (Bc__Leaving         *message)
+{
+  static const Bc__Leaving init_value = BC__LEAVING__INIT;
+  *message = init_value;
+}
+size_t bc__leaving__get_packed_size
+                     (const Bc__Leaving *message)
+{
+  assert(message->base.descriptor == &bc__leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bc__leaving__pack
+                     (const Bc__Leaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bc__leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bc__leaving__pack_to_buffer
+                     (const Bc__Leaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bc__leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bc__Leaving *
+       bc__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bc__Leaving *)
+     protobuf_c_message_unpack (&bc__leaving__descriptor,
+                                allocator, len, data);
+}
+void   bc__leaving__free_unpacked
+                     (Bc__Leaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bc__leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bc__frame__init
                      (Bc__Frame         *message)
 {
@@ -6815,7 +6860,71 @@
   (ProtobufCMessageInit) bc__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__frame__field_descriptors[28] =
+static const ProtobufCFieldDescriptor bc__leaving__field_descriptors[3] =
+{
+  {
+    "upstream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Leaving, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Leaving, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Leaving, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bc__leaving__field_indices_by_name[] = {
+  2,   /* field[2] = relay */
+  1,   /* field[1] = started */
+  0,   /* field[0] = upstream */
+};
+static const ProtobufCIntRange bc__leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bc__leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bc.Leaving",
+  "Leaving",
+  "Bc__Leaving",
+  "bc",
+  sizeof(Bc__Leaving),
+  3,
+  bc__leaving__field_descriptors,
+  bc__leaving__field_indices_by_name,
+  1,  bc__leaving__number_ranges,
+  (ProtobufCMessageInit) bc__leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bc__frame__field_descriptors[29] =
 {
   {
     "sender",
@@ -7153,6 +7262,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bc__Frame, body_case),
+    offsetof(Bc__Frame, leaving),
+    &bc__leaving__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__frame__field_indices_by_name[] = {
   8,   /* field[8] = ask */
@@ -7170,6 +7291,7 @@
   26,   /* field[26] = key_map_get */
   4,   /* field[4] = lease_ask */
   5,   /* field[5] = lease_reply */
+  28,   /* field[28] = leaving */
   22,   /* field[22] = pulse */
   12,   /* field[12] = record */
   13,   /* field[13] = record_ack */
@@ -7189,7 +7311,7 @@
   { 1, 0 },
   { 10, 2 },
   { 30, 17 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor bc__frame__descriptor =
 {
@@ -7199,7 +7321,7 @@
   "Bc__Frame",
   "bc",
   sizeof(Bc__Frame),
-  28,
+  29,
   bc__frame__field_descriptors,
   bc__frame__field_indices_by_name,
   3,  bc__frame__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -64,6 +64,7 @@
 typedef struct Bc__TableRow Bc__TableRow;
 typedef struct Bc__TableCopy Bc__TableCopy;
 typedef struct Bc__Crash Bc__Crash;
+typedef struct Bc__Leaving Bc__Leaving;
 typedef struct Bc__Frame Bc__Frame;
 
 
@@ -1053,6 +1054,27 @@
     , 0, 0, 0 }
 
 
+/*
+ * An answer of an upstream said that its process ends soon.
+ */
+struct  Bc__Leaving
+{
+  ProtobufCMessage base;
+  uint64_t upstream;
+  /*
+   * identifies the process, as in its registration
+   */
+  int64_t started;
+  /*
+   * as in Crash
+   */
+  protobuf_c_boolean relay;
+};
+#define BC__LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bc__leaving__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   BC__FRAME__BODY__NOT_SET = 0,
   BC__FRAME__BODY_HELLO = 10,
@@ -1080,7 +1102,8 @@
   BC__FRAME__BODY_TABLE_COPY = 37,
   BC__FRAME__BODY_CRASH = 38,
   BC__FRAME__BODY_KEY_MAP_GET = 39,
-  BC__FRAME__BODY_KEY_LOAD = 40
+  BC__FRAME__BODY_KEY_LOAD = 40,
+  BC__FRAME__BODY_LEAVING = 41
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BC__FRAME__BODY__CASE)
 } Bc__Frame__BodyCase;
 
@@ -1120,6 +1143,7 @@
     Bc__Crash *crash;
     Bc__KeyMapGet *key_map_get;
     Bc__KeyLoad *key_load;
+    Bc__Leaving *leaving;
   };
 };
 #define BC__FRAME__INIT \
@@ -2058,6 +2082,25 @@
 void   bc__crash__free_unpacked
                      (Bc__Crash *message,
                       ProtobufCAllocator *allocator);
+/* Bc__Leaving methods */
+void   bc__leaving__init
+                     (Bc__Leaving         *message);
+size_t bc__leaving__get_packed_size
+                     (const Bc__Leaving   *message);
+size_t bc__leaving__pack
+                     (const Bc__Leaving   *message,
+                      uint8_t             *out);
+size_t bc__leaving__pack_to_buffer
+                     (const Bc__Leaving   *message,
+                      ProtobufCBuffer     *buffer);
+Bc__Leaving *
+       bc__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bc__leaving__free_unpacked
+                     (Bc__Leaving *message,
+                      ProtobufCAllocator *allocator);
 /* Bc__Frame methods */
 void   bc__frame__init
                      (Bc__Frame         *message);
@@ -2226,6 +2269,9 @@
 typedef void (*Bc__Crash_Closure)
                  (const Bc__Crash *message,
                   void *closure_data);
+typedef void (*Bc__Leaving_Closure)
+                 (const Bc__Leaving *message,
+                  void *closure_data);
 typedef void (*Bc__Frame_Closure)
                  (const Bc__Frame *message,
                   void *closure_data);
@@ -2286,6 +2332,7 @@
 extern const ProtobufCMessageDescriptor bc__table_row__descriptor;
 extern const ProtobufCMessageDescriptor bc__table_copy__descriptor;
 extern const ProtobufCMessageDescriptor bc__crash__descriptor;
+extern const ProtobufCMessageDescriptor bc__leaving__descriptor;
 extern const ProtobufCMessageDescriptor bc__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -316,7 +316,8 @@
 	bool valid = f->list->env.platform->notice(a, &out->notice);
 
 	out->answered = true;
-	fleet_note_notice(f->upstream, &out->notice, valid);
+	if (fleet_note_notice(f->upstream, &out->notice, valid))
+		f->list->env.on_leaving(f->list->env.data, f->upstream);
 }
 
 /* Whether another instance answered: the address was reused after the upstream registered. */
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -44,6 +44,8 @@
 			  struct str region, size_t bytes);
 	/* An upstream answered 421: it does not own the key. */
 	void (*on_misplaced)(void *data, const char *service, uint32_t key, uint64_t upstream);
+	/* The upstream said for the first time that it leaves, see fleet_note_notice(). */
+	void (*on_leaving)(void *data, struct fleet_upstream *u);
 	/*
 	 * The process that ran a request ended before it answered. `upstream` identifies the
 	 * process: a hash of the upstream and its start time (see crash.h).
--- a/test/unit_fleet.c
+++ b/test/unit_fleet.c
@@ -197,7 +197,39 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"fleet_ignore_draining", "fleet_ignore_displaced", NULL};
+/*
+ * Guards against a registration that brings back a process that said that it leaves, and against a
+ * notice about a former process of the upstream.
+ */
+START_TEST(leaving_process_gets_nothing_until_another_one_registers)
+{
+	struct fleet *f = setup();
+	struct fleet_info i = info("a", "d1", 1);
+	const struct notice leaving = {.leaving = true};
+	const struct notice nothing = {0};
+
+	fleet_put(f, 10, &i);
+	ck_assert(!fleet_note_notice(find(f, "a"), &nothing, true));
+	ck_assert(fleet_note_notice(find(f, "a"), &leaving, true));
+	ck_assert(!fleet_note_notice(find(f, "a"), &leaving, true));
+	ck_assert(!fleet_is_usable(find(f, "a"), 10));
+	ck_assert(!fleet_note_notice(find(f, "a"), &nothing, true));
+	fleet_put(f, 20, &i);
+	ck_assert(!fleet_is_usable(find(f, "a"), 20));
+	i.started = 2;
+	fleet_put(f, 30, &i);
+	ck_assert(fleet_is_usable(find(f, "a"), 30));
+	ck_assert(!fleet_note_leaving(f, find(f, "a")->num, 1));
+	ck_assert(fleet_is_usable(find(f, "a"), 30));
+	ck_assert(fleet_note_leaving(f, find(f, "a")->num, 2));
+	ck_assert(!fleet_is_usable(find(f, "a"), 30));
+	ck_assert(!fleet_note_leaving(f, fleet_num(STR_LIT("unknown")), 2));
+	fleet_destroy(f);
+}
+END_TEST
+
+static const char *const mutants[] = {"fleet_ignore_draining", "fleet_ignore_leaving",
+				      "fleet_ignore_displaced", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -208,6 +240,7 @@
 	tcase_add_test(tc, new_start_time_is_a_new_process);
 	tcase_add_test(tc, evacuated_domain_gets_nothing);
 	tcase_add_test(tc, upstream_in_use_is_kept);
+	tcase_add_test(tc, leaving_process_gets_nothing_until_another_one_registers);
 	tcase_add_test(tc, displaced_upstream_gets_nothing_until_it_registers_anew);
 }
 
