forward, fleet: an upstream that turned this gateway away gets nothing for the time that it named

What upstreams saw: an upstream that answered 503 with Retry-After got requests again after 100 ms to 2 s.

Cause: the header was passed by; admission knows only a pause after a refusal. The gateway now sends nothing there until the time has passed (checked when a slot is requested and granted, and before the first byte). Requests for its keys are refused at once; so are those of a service whose upstreams all say so, unless another region may serve them. Callers get the end of the first such time and a spread, not the upstream's header.

--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -29,6 +29,7 @@
 	struct fleet_upstream *upstreams;
 	struct evacuated *evacuated;
 	size_t n_evacuated;
+	clk_ms holds_until; /* end of the last fleet_upstream.held_until */
 };
 
 uint64_t fleet_num(struct str id)
@@ -121,6 +122,7 @@
 	if (is_new) {
 		u->displaced_until = 0;
 		u->notice = (struct notice){0};
+		u->held_until = 0;
 		u->leaving = false;
 		u->invalid_notice_known = false;
 		f->handlers.on_new(f->data, u);
@@ -209,7 +211,16 @@
 	}
 }
 
-bool fleet_note_notice(struct fleet_upstream *u, const struct notice *n, bool valid)
+static void hold(struct fleet *f, struct fleet_upstream *u, clk_ms until)
+{
+	if (until > u->held_until)
+		u->held_until = until;
+	if (until > f->holds_until)
+		f->holds_until = until;
+}
+
+bool fleet_note_notice(struct fleet *f, struct fleet_upstream *u, clk_ms now,
+		       const struct notice *n, bool valid)
 {
 	if (!valid && !u->invalid_notice_known) {
 		u->invalid_notice_known = true;
@@ -224,6 +235,8 @@
 		log_info(&log, "upstream %s of %s wants no requests for %lld ms", u->id, u->service,
 			 (long long)n->retry_after);
 	}
+	if (n->retry_after)
+		hold(f, u, now + n->retry_after);
 	u->notice = *n;
 	return n->leaving && set_leaving(u);
 }
@@ -240,6 +253,17 @@
 	u->displaced_until = now + DISPLACED_MS;
 }
 
+bool fleet_may_send(const struct fleet_upstream *u, clk_ms now)
+{
+	return fleet_is_usable(u, now) &&
+	       (now >= u->held_until || MUTANT(fleet_ignore_retry_after));
+}
+
+bool fleet_has_holds(const struct fleet *f, clk_ms now)
+{
+	return now < f->holds_until && !MUTANT(fleet_ignore_retry_after);
+}
+
 void fleet_hold(struct fleet_upstream *u)
 {
 	u->users++;
--- a/src/process/fleet.h
+++ b/src/process/fleet.h
@@ -47,6 +47,7 @@
 	clk_ms displaced_until;
 	bool was_usable;	   /* at the last fleet_tick() */
 	struct notice notice;	   /* of its last answer */
+	clk_ms held_until;	   /* it wants no requests from this gateway until then, 0: none */
 	bool leaving;		   /* its process said in an answer that it ends soon */
 	bool invalid_notice_known; /* the log has that its notices have invalid values */
 	bool in_full_read;	   /* contained in the full read that is being applied */
@@ -94,7 +95,8 @@
  * Records what the upstream said in an answer; `valid`: all of it could be read. Returns true if it
  * said for the first time that it leaves.
  */
-bool fleet_note_notice(struct fleet_upstream *u, const struct notice *notice, bool valid);
+bool fleet_note_notice(struct fleet *f, struct fleet_upstream *u, clk_ms now,
+		       const struct notice *notice, bool valid);
 /*
  * Records that the process of the upstream with this start time said that it leaves. It gets no new
  * requests, whatever its registration says, until another process registers. Returns true if that
@@ -108,6 +110,10 @@
 struct fleet_upstream *fleet_first(const struct fleet *f);
 /* Whether the upstream may get new requests. */
 bool fleet_is_usable(const struct fleet_upstream *u, clk_ms now);
+/* Whether the upstream is usable and did not turn this gateway away for a time that lasts. */
+bool fleet_may_send(const struct fleet_upstream *u, clk_ms now);
+/* Whether any upstream turned this gateway away for a time that lasts. */
+bool fleet_has_holds(const struct fleet *f, clk_ms now);
 /* Take and drop a reference; an upstream with references is not freed. */
 void fleet_hold(struct fleet_upstream *u);
 void fleet_release(struct fleet *f, struct fleet_upstream *u, clk_ms now);
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -45,13 +45,16 @@
 	return p;
 }
 
-static uint64_t owner_of_key(void *data, uint32_t key)
+uint64_t slots_owner(const struct slot_pool *p, uint32_t key)
 {
-	struct slot_pool *p = data;
-
 	return p->slots->env.owner(p->slots->env.data, p->service, key);
 }
 
+static uint64_t owner_of_key(void *data, uint32_t key)
+{
+	return slots_owner(data, key);
+}
+
 static void dispatch(struct slot_pool *p);
 
 static void send_request(struct slots *s, struct slot_ask *a);
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -103,6 +103,9 @@
  */
 struct slot_pool *slots_pool(struct slots *s, struct str service, struct str region);
 
+/* Returns the upstream to which requests for the key may be sent, 0 if there is none. */
+uint64_t slots_owner(const struct slot_pool *pool, uint32_t key);
+
 void slots_request_init(struct slots *s, struct slot_ask *a,
 			void (*cb)(void *data, const struct admit_decision *d,
 				   const struct slot_permit *permit),
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -31,6 +31,10 @@
 /* Retry-After when a link has no room for large bodies, and a part that varies by request. */
 #define RETRY_AFTER_LINK_MS 800
 #define RETRY_AFTER_LINK_JITTER_MS 800
+/* Callers of upstreams that want none come back within this and a part of the wait after its end.
+ */
+#define RETRY_AFTER_AWAY_SPREAD_MS 150
+#define RETRY_AFTER_AWAY_SPREAD_DIVISOR 3
 /*
  * Requests that come whole later than this in a planned stop were sent after the balancer had taken
  * the gateway out, or slowly.
@@ -46,6 +50,8 @@
 CTR(ctr_budget, "forward_budget_total", "Repeats left out because of the budget.");
 CTR(ctr_uncharged, "forward_unreached_total",
     "Attempts that reached no upstream and were made again without use of the retry budget.");
+CTR(ctr_turned_away, "forward_turned_away_total",
+    "Requests refused since all upstreams that may serve them want none from this gateway.");
 CTR(ctr_other_instance, "forward_other_instance_total",
     "Answers of another instance at the address of an upstream.");
 HIST(hist_answered, "answer_ms", "Time from the whole request to the answer of an upstream.");
@@ -253,6 +259,57 @@
 	return true;
 }
 
+/* Whether the upstream is among those that may serve the present slot request. */
+static bool is_candidate(const struct forward *f, const struct fleet_upstream *u, uint64_t owner)
+{
+	const struct gwset *settings = f->list->env.settings;
+
+	if (f->service->keyed)
+		return u->num == owner;
+	return str_eq_cstr(f->service->name, u->service) && fleet_is_usable(u, clk_now()) &&
+	       str_eq(gwset_region(settings, str_from(u->failure_domain)), f->region);
+}
+
+/*
+ * Load pattern: upstreams that turn requests away for a time. Returns 0 if one that may serve the
+ * request wants requests from this gateway, else the time at which the first will want some again.
+ */
+static clk_ms turned_away_until(const struct forward *f, const struct slot_pool *pool)
+{
+	const struct fleet *fleet = f->list->env.fleet;
+	uint64_t owner = pool->keyed ? slots_owner(pool, f->key) : 0;
+	clk_ms now = clk_now();
+	clk_ms first = CLK_NEVER;
+
+	if (!fleet_has_holds(fleet, now))
+		return 0;
+	for (struct fleet_upstream *u = fleet_first(fleet); u; u = u->hh.next) {
+		if (!is_candidate(f, u, owner))
+			continue;
+		if (now >= u->held_until)
+			return 0;
+		if (u->held_until < first)
+			first = u->held_until;
+	}
+	return first == CLK_NEVER ? 0 : first;
+}
+
+/* Returns the Retry-After of a refused request: when an upstream that may serve it wants requests.
+ */
+static clk_ms retry_after(const struct forward *f)
+{
+	const struct slot_pool *pool = slots_pool(f->list->env.slots, f->service->name, f->region);
+	clk_ms until = pool ? turned_away_until(f, pool) : 0;
+	clk_ms wait = until - clk_now();
+
+	if (!until)
+		return RETRY_AFTER_DEFAULT_MS;
+	/* Spread over some time, so that the callers do not come back all at once. */
+	return wait + (clk_ms)(str_hash(f->request_id) %
+			       (uint64_t)(RETRY_AFTER_AWAY_SPREAD_MS +
+					  wait / RETRY_AFTER_AWAY_SPREAD_DIVISOR));
+}
+
 /*
  * Handles an attempt that the upstream did not run: requests another slot if attempts, time and
  * budget permit. `arrived`: the request reached an upstream process.
@@ -277,7 +334,7 @@
 		request_slot(f);
 		return;
 	}
-	give_up(f, "no upstream ran the request", RETRY_AFTER_DEFAULT_MS);
+	give_up(f, "no upstream ran the request", retry_after(f));
 }
 
 /* Handles an attempt that may have run: only an idempotent request is sent again. */
@@ -316,7 +373,7 @@
 	bool valid = f->list->env.platform->notice(a, &out->notice);
 
 	out->answered = true;
-	if (fleet_note_notice(f->upstream, &out->notice, valid))
+	if (fleet_note_notice(f->list->env.fleet, f->upstream, clk_now(), &out->notice, valid))
 		f->list->env.on_leaving(f->list->env.data, f->upstream);
 }
 
@@ -427,6 +484,7 @@
 		on_complete_answer(f, a);
 		return;
 	case UPCONN_NOT_SENT:
+		avoid_upstream(f, f->upstream->num);
 		end_call(f, ADMIT_UNUSED, 0, &none);
 		after_not_run(f, "left", false);
 		return;
@@ -457,12 +515,13 @@
 	after_unknown(f, upconn_result_name(a->result), 502);
 }
 
-/* Whether the upstream is still usable and the deadline not over when the connection is open. */
+/* Whether the upstream may still get the request and the deadline not over when the connection is
+ * open. */
 static bool may_send(void *data)
 {
 	struct forward *f = data;
 
-	if (!fleet_is_usable(f->upstream, clk_now()) || clk_now() >= f->deadline)
+	if (!fleet_may_send(f->upstream, clk_now()) || clk_now() >= f->deadline)
 		return false;
 	if (f->retry_reserved) {
 		f->list->env.note_retry_sent(f->list->env.data, f->service->name);
@@ -565,11 +624,12 @@
 		request_slot(f); /* refuses it */
 		return;
 	}
-	if (!u || !u->conns || !fleet_is_usable(u, clk_now()) || !upstream_is_home(f, u)) {
+	if (!u || !u->conns || !fleet_may_send(u, clk_now()) || !upstream_is_home(f, u)) {
 		slots_done(l->env.slots, permit, ADMIT_UNUSED, 0, &none);
 		f->why = "upstream-left";
 		avoid_upstream(f, permit->upstream);
-		if (++f->unused_grants < MAX_UNUSED_GRANTS && !f->service->keyed)
+		if (++f->unused_grants < MAX_UNUSED_GRANTS &&
+		    (!f->service->keyed || turned_away_until(f, permit->pool)))
 			request_slot(f);
 		else
 			give_up(f, "the upstream may not take the request", RETRY_AFTER_DEFAULT_MS);
@@ -635,6 +695,18 @@
 	give_up(f, "no upstream has room for the request", d->retry_after);
 }
 
+/* Every upstream that may serve the request has turned this gateway away. */
+static void refuse_turned_away(struct forward *f)
+{
+	const struct admit_decision full = {.reason = ADMIT_REFUSE_FULL};
+
+	if (cross_region(f, &full))
+		return;
+	ctr_inc(&ctr_turned_away);
+	f->why = "turned-away";
+	give_up(f, "the upstreams of the service want no requests now", retry_after(f));
+}
+
 static void request_slot(struct forward *f)
 {
 	struct forward_list *l = f->list;
@@ -649,6 +721,10 @@
 		give_up(f, "the service is not known yet", RETRY_AFTER_DEFAULT_MS);
 		return;
 	}
+	if (turned_away_until(f, pool)) {
+		refuse_turned_away(f);
+		return;
+	}
 	if (!l->env.may_cross(l->env.data, f->service, f->key, f->region, f->req->body.len)) {
 		f->why = "link-full";
 		give_up(f, "the link to the upstream's region is full",
--- a/test/unit_fleet.c
+++ b/test/unit_fleet.c
@@ -209,11 +209,11 @@
 	const struct notice nothing = {0};
 
 	fleet_put(f, 10, &i);
-	ck_assert(!fleet_note_notice(find(f, "a"), &nothing, true));
-	ck_assert(fleet_note_notice(find(f, "a"), &leaving, true));
-	ck_assert(!fleet_note_notice(find(f, "a"), &leaving, true));
+	ck_assert(!fleet_note_notice(f, find(f, "a"), 10, &nothing, true));
+	ck_assert(fleet_note_notice(f, find(f, "a"), 10, &leaving, true));
+	ck_assert(!fleet_note_notice(f, find(f, "a"), 10, &leaving, true));
 	ck_assert(!fleet_is_usable(find(f, "a"), 10));
-	ck_assert(!fleet_note_notice(find(f, "a"), &nothing, true));
+	ck_assert(!fleet_note_notice(f, find(f, "a"), 10, &nothing, true));
 	fleet_put(f, 20, &i);
 	ck_assert(!fleet_is_usable(find(f, "a"), 20));
 	i.started = 2;
@@ -228,8 +228,34 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"fleet_ignore_draining", "fleet_ignore_leaving",
-				      "fleet_ignore_displaced", NULL};
+/* Guards against requests within the time for which an upstream wants none, and after it. */
+START_TEST(upstream_that_turned_requests_away_gets_none_for_its_time)
+{
+	struct fleet *f = setup();
+	struct fleet_info i = info("a", "d1", 1);
+	const struct notice away = {.retry_after = 2000};
+	const struct notice shorter = {.retry_after = 500};
+	const struct notice nothing = {0};
+
+	fleet_put(f, 10, &i);
+	ck_assert(fleet_may_send(find(f, "a"), 10) && !fleet_has_holds(f, 10));
+	fleet_note_notice(f, find(f, "a"), 100, &away, true);
+	/* Answers to requests that were sent before do not end the time. */
+	fleet_note_notice(f, find(f, "a"), 200, &shorter, true);
+	fleet_note_notice(f, find(f, "a"), 300, &nothing, true);
+	ck_assert(!fleet_may_send(find(f, "a"), 2099) && fleet_has_holds(f, 2099));
+	ck_assert(fleet_is_usable(find(f, "a"), 2099));
+	ck_assert(fleet_may_send(find(f, "a"), 2100) && !fleet_has_holds(f, 2100));
+	fleet_note_notice(f, find(f, "a"), 3000, &away, true);
+	i.started = 2;
+	fleet_put(f, 3100, &i);
+	ck_assert(fleet_may_send(find(f, "a"), 3100));
+	fleet_destroy(f);
+}
+END_TEST
+
+static const char *const mutants[] = {"fleet_ignore_retry_after", "fleet_ignore_draining",
+				      "fleet_ignore_leaving", "fleet_ignore_displaced", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -241,6 +267,7 @@
 	tcase_add_test(tc, evacuated_domain_gets_nothing);
 	tcase_add_test(tc, upstream_in_use_is_kept);
 	tcase_add_test(tc, leaving_process_gets_nothing_until_another_one_registers);
+	tcase_add_test(tc, upstream_that_turned_requests_away_gets_none_for_its_time);
 	tcase_add_test(tc, displaced_upstream_gets_nothing_until_it_registers_anew);
 }
 
