--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -35,6 +35,7 @@
 OVERLAP_MS = 20
 RECOVERY_S = 30  # limit until all requests are served again after the last fault
 ANSWER_FAULT_SHARE = 0.35  # of the steps that inject faults
+NOTICE_SHARE = 0.35  # of the steps that inject faults
 
 
 def now_ms():
@@ -97,6 +98,7 @@
         self.events = []  # (time, text): injected faults
         # Of its own, so that a seed gives the other faults that it gave before these were added.
         self.answer_rng = random.Random(options.seed + 1000003)
+        self.notice_rng = random.Random(options.seed + 2000003)
 
     # ---- deployment ----
 
@@ -272,9 +274,9 @@
     def log_event(self, what):
         self.events.append((now_ms(), what))
 
-    def schedule(self, seconds, action, *args):
+    def schedule(self, seconds, action, *args, **kwargs):
         """Calls action after a delay, in a thread of its own."""
-        t = threading.Timer(seconds, action, args)
+        t = threading.Timer(seconds, action, args, kwargs)
         t.daemon = True
         t.start()
         self.timers.append(t)
@@ -360,9 +362,31 @@
         self.proxies[name].start_fault(mode)
         self.schedule(duration_s, self.proxies[name].end_fault)
 
-    def try_fault(self):
+    def set_notice(self, name, **texts):
+        """Sets what an upstream says of itself in its answers."""
+        self.post(self.upstreams[name]["control"], "/control", json.dumps(texts))
+
+    def inject_notice(self):
+        """Makes a random upstream limit its requests, leave, or turn requests away for a time."""
+        r = self.notice_rng
+        name, kind = r.choice(sorted(self.upstreams)), r.choice(["limit", "leaving", "turn-away"])
+        duration_s = r.choice([0.7, 1.5, 3.0])
+        self.log_event("%s %s %.1f s" % (kind, name, duration_s))
+        if kind == "limit":
+            self.set_notice(name, limit=r.choice(["0", "0.5", "3", "20", "-1"]))
+            self.schedule(duration_s, self.try_fault, self.set_notice, name, limit="")
+        elif kind == "leaving":
+            # Before, as the process may end by another fault; its successor does not leave.
+            self.schedule(duration_s, self.restart_upstream, name)
+            self.set_notice(name, leaving="1")
+        else:
+            self.set_notice(name, retry_after=r.choice(["0.5", "2", "soon"]),
+                            shed=r.randrange(1, 20))
+            self.schedule(duration_s, self.try_fault, self.set_notice, name, retry_after="", shed=0)
+
+    def try_fault(self, inject, *args, **kwargs):
         try:
-            self.inject_fault()
+            inject(*args, **kwargs)
         except (OSError, http.client.HTTPException) as e:
             self.log_event("not injected: %s" % e)  # another fault stopped or paused its target
 
@@ -380,6 +404,7 @@
         for proxy in self.proxies.values():
             proxy.end_fault()
         for name in self.upstreams:
+            self.set_notice(name, limit="", leaving="", retry_after="", shed=0)
             self.register_upstream(name)
         self.log_event("all faults ended")
 
@@ -515,7 +540,9 @@
         end = time.time() + self.options.seconds
         while time.time() < end:
             for _ in range(self.rng.choice([1, 1, 1, 2, 3])):
-                self.try_fault()
+                self.try_fault(self.inject_fault)
+            if self.notice_rng.random() < NOTICE_SHARE:
+                self.try_fault(self.inject_notice)
             if self.answer_rng.random() < ANSWER_FAULT_SHARE:
                 self.inject_answer_fault()
             time.sleep(self.rng.choice([0.1, 0.5, 1.0, 2.0]))
