ingress, upconn: the body of an upstream's answer is handed over, not copied

A whole answer was in memory twice while it was written to the caller; the copy of up to 32 MiB came on top of the share. The server for callers now gets the buffer of the client and frees it.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -61,8 +61,9 @@
 	size_t body_len;	       /* bytes read so far */
 	size_t body_capacity;	       /* allocated size of `body` */
 	size_t raw_body_bytes;	       /* chunked body bytes received, with chunk framing */
-	char *write_buf;	       /* response being written */
-	size_t write_bytes;	       /* size of `write_buf` as counted in `answers` */
+	char *write_buf;	       /* response being written, without `write_body` */
+	char *write_body;	       /* its body if the connection owns it, or NULL */
+	size_t write_bytes;	       /* size of both as counted in `answers` */
 	struct answer_memory *answers; /* where the response being written is counted, or NULL */
 	struct phr_chunked_decoder chunks;
 	struct chunk_lines chunk_lines;
@@ -123,7 +124,9 @@
 static void free_response(struct ingress_conn *c)
 {
 	free(c->write_buf);
+	free(c->write_body);
 	c->write_buf = NULL;
+	c->write_body = NULL;
 	if (c->answers)
 		c->answers->used -= c->write_bytes;
 	c->answers = NULL;
@@ -208,7 +211,7 @@
 }
 
 static void write_answer(struct ingress_conn *c, int status, const struct ingress_header *headers,
-			 size_t n, struct str body, bool close);
+			 size_t n, struct str body, char *owned, bool close);
 
 /* Sends an error response instead of passing the request to the handler; closes the connection. */
 static void refuse_request(struct ingress_conn *c, int status, const char *why)
@@ -223,7 +226,7 @@
 	}
 	struct str text = arena_printf(&c->req->arena, "{\"error\":\"%s\"}\n", why);
 
-	write_answer(c, status, NULL, 0, text, true);
+	write_answer(c, status, NULL, 0, text, NULL, true);
 }
 
 static void on_timer(struct timer *timer, void *data)
@@ -631,18 +634,25 @@
 	return size;
 }
 
+/*
+ * Writes a response. `owned` is the memory of the body if the connection frees it, NULL if the body
+ * is to be copied.
+ */
 static void write_answer(struct ingress_conn *c, int status, const struct ingress_header *headers,
-			 size_t n, struct str body, bool close)
+			 size_t n, struct str body, char *owned, bool close)
 {
-	size_t size = head_size(headers, n);
-	char *head = malloc(size + body.len);
 	bool no_body = status == 204 || status == 304 || str_eq_cstr(c->req->method, "HEAD");
+	size_t copied = owned || no_body ? 0 : body.len;
+	size_t size = head_size(headers, n);
+	char *head = malloc(size + copied);
+	h2o_iovec_t write_bufs[2];
+	size_t n_bufs = owned && !no_body ? 2 : 1;
 	size_t at;
-	h2o_iovec_t write_buf;
 
 	if (!head)
 		abort();
 	c->write_buf = head;
+	c->write_body = owned;
 	c->close_after = close || !c->keep_alive || c->in->draining;
 	at = (size_t)snprintf(head, size, "HTTP/1.1 %d %s\r\n", status, reason_phrase(status));
 	for (size_t i = 0; i < n; i++) {
@@ -656,17 +666,16 @@
 	if (status != 204 && status != 304)
 		at += (size_t)snprintf(head + at, size - at, "content-length: %zu\r\n", body.len);
 	at += (size_t)snprintf(head + at, size - at, "\r\n");
-	if (!no_body && body.len) {
-		memcpy(head + at, body.ptr, body.len);
-		at += body.len;
-	}
-	count_response(c, at);
+	if (copied)
+		memcpy(head + at, body.ptr, copied);
+	write_bufs[0] = h2o_iovec_init(head, at + copied);
+	write_bufs[1] = h2o_iovec_init(body.ptr, body.len);
+	count_response(c, size + (owned ? body.len : copied));
 	conn_detach_request(c);
 	c->state = CONN_WRITING;
 	/* Closes the connection if the caller does not read the response in time. */
 	timer_arm(&c->timer, c->in->handlers.limits(c->in->data)->idle_timeout);
-	write_buf = h2o_iovec_init(head, at);
-	h2o_socket_write(c->sock, &write_buf, 1, on_written);
+	h2o_socket_write(c->sock, write_bufs, n_bufs, on_written);
 	if (!h2o_socket_is_reading(c->sock))
 		h2o_socket_read_start(c->sock, on_read);
 }
@@ -675,7 +684,16 @@
 		   size_t n, struct str body, bool close)
 {
 	if (req->conn)
-		write_answer(req->conn, status, headers, n, body, close);
+		write_answer(req->conn, status, headers, n, body, NULL, close);
+}
+
+void ingress_reply_owned(struct ingress_request *req, int status,
+			 const struct ingress_header *headers, size_t n, char *body, size_t len)
+{
+	if (req->conn)
+		write_answer(req->conn, status, headers, n, (struct str){body, len}, body, false);
+	else
+		free(body);
 }
 
 /* ---- listener ------------------------------------------------------------------------------- */
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -86,7 +86,8 @@
  * the handler has not responded to.
  */
 void ingress_close(struct ingress *in);
-/* Calls ingress_close() and frees `in`. The handler must have freed all requests, or in the call. */
+/* Calls ingress_close() and frees `in`. The handler must have freed all requests, or in the call.
+ */
 void ingress_destroy(struct ingress *in);
 
 /* Returns the value of a request header, STR_NULL if absent. `name` is in lower case. */
@@ -101,6 +102,12 @@
  */
 void ingress_reply(struct ingress_request *req, int status, const struct ingress_header *headers,
 		   size_t n, struct str body, bool close);
+/*
+ * The same with a body that is not copied: `body` is allocated by malloc() and freed by this module
+ * in any case. It may be NULL if `len` is 0.
+ */
+void ingress_reply_owned(struct ingress_request *req, int status,
+			 const struct ingress_header *headers, size_t n, char *body, size_t len);
 
 /*
  * Whether a header is hop-by-hop, that is, concerns one connection and must not be forwarded (RFC
--- a/src/connection/upconn.c
+++ b/src/connection/upconn.c
@@ -236,6 +236,7 @@
 		answer.headers = call->headers;
 		answer.n_headers = call->n_headers;
 		answer.body = (struct str){call->body, call->body_len};
+		answer.call = call;
 		upconn_memory_note_complete(call);
 	}
 	if (call->conn)
@@ -248,6 +249,14 @@
 	call_free(call);
 }
 
+char *upconn_take_body(const struct upconn_answer *a)
+{
+	char *body = a->call->body;
+
+	a->call->body = NULL;
+	return body;
+}
+
 /* Reports the failure from the loop, because upconn_send() must not call the callback. */
 static void call_fail_async(struct upconn_call *call, enum upconn_result result)
 {
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -86,12 +86,19 @@
 	const struct upconn_header *headers;
 	size_t n_headers;
 	struct str body;
+	struct upconn_call *call; /* owns the answer, see upconn_take_body() */
 	clk_ms elapsed; /* since the write began, or since upconn_send() if nothing was written */
 };
 
 /* Returns the value of a response header, STR_NULL if absent. `name` is in lower case. */
 struct str upconn_answer_header(const struct upconn_answer *a, const char *name);
 
+/*
+ * Hands the memory of the body over to the caller, who frees it; NULL if the body is empty. Its
+ * bytes are those of `a->body`.
+ */
+char *upconn_take_body(const struct upconn_answer *a);
+
 /* Receives the result of a call. `answer` is valid only until the callback returns. */
 typedef void (*upconn_cb)(void *data, const struct upconn_answer *answer);
 
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -215,7 +215,8 @@
 	hist_add(&hist_answered, clk_now() - f->req->arrived);
 	f->why = NULL;
 	log_outcome(f, a->status, f->caller_left ? "answered-nobody" : "answered");
-	ingress_reply(f->req, a->status, headers, a->n_headers, a->body, false);
+	ingress_reply_owned(f->req, a->status, headers, a->n_headers, upconn_take_body(a),
+			    a->body.len);
 	forward_free(f);
 }
 
