--- a/test/scripts/faulty.sh
+++ b/test/scripts/faulty.sh
@@ -29,7 +29,7 @@
 wait_until is_served
 counts() {
 	echo runs >&"${SERVER[1]}"
-	read -r runs copies <&"${SERVER[0]}"
+	read -r _ copies <&"${SERVER[0]}"
 }
 # After a failure the upstream is paused for up to 2 s; an order that waits for it is refused.
 cut_heads() { # KIND
