--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -173,9 +173,8 @@
 
 /* Slots of the upstream `only`, or of all if NULL. */
 struct capacity {
-	double slots; /* of usable upstreams that are not paused, as far as their rate lets use them
-		       */
-	double idle;  /* of these, the number that can be granted now */
+	double slots;	/* of usable upstreams that are not paused, as far as their rate allows */
+	double idle;	/* of these, the number that can be granted now */
 	double paused;	/* of usable upstreams that are paused */
 	clk_ms resumes; /* end of the first pause */
 };
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -11,6 +11,7 @@
 #include "base/mutant.h"
 #include "base/rnd.h"
 #include "connection/upconn.h"
+#include "process/stopping.h"
 #include "request/crash.h"
 
 /* Most idle connections from this gateway to one upstream. */
@@ -31,15 +32,9 @@
 /* Retry-After when a link has no room for large bodies, and a part that varies by request. */
 #define RETRY_AFTER_LINK_MS 800
 #define RETRY_AFTER_LINK_JITTER_MS 800
-/* Callers of upstreams that want none come back within this and a part of the wait after its end.
- */
+/* Spread of callers after the end of a wait that an upstream named: this and a part of the wait. */
 #define RETRY_AFTER_AWAY_SPREAD_MS 150
 #define RETRY_AFTER_AWAY_SPREAD_DIVISOR 3
-/*
- * Requests that come whole later than this in a planned stop were sent after the balancer had taken
- * the gateway out, or slowly.
- */
-#define STOP_LATE_MS 3000
 
 static const struct log log = {"forward"};
 CTR(ctr_requests, "forward_requests_total", "Requests of callers.");
@@ -95,9 +90,8 @@
 	struct forward *forwards;
 	struct crash_checker *checker;
 	size_t open;
-	clk_ms late_from; /* in a planned stop, requests that come whole after this are late */
-	clk_ms ends_at;	  /* end of the process, CLK_NEVER if no stop is under way */
-	bool stopping;	  /* after forward_close() */
+	struct stopping stop;
+	bool stopping; /* after forward_close() */
 };
 
 static void request_slot(struct forward *f);
@@ -295,8 +289,7 @@
 	return first == CLK_NEVER ? 0 : first;
 }
 
-/* Returns the Retry-After of a refused request: when an upstream that may serve it wants requests.
- */
+/* Returns the Retry-After of a refused request: until an upstream wants it, if all name a time. */
 static clk_ms retry_after(const struct forward *f)
 {
 	const struct slot_pool *pool = slots_pool(f->list->env.slots, f->service->name, f->region);
@@ -594,17 +587,10 @@
 
 /* ---- slots ---------------------------------------------------------------------------------- */
 
-/*
- * Whether the answer can be expected before a planned stop ends: for a late request only if even
- * its deadline lies before the end, for others by the latency objective.
- */
 static bool fits_stop(const struct forward *f)
 {
-	const struct forward_list *l = f->list;
-
-	if (f->deadline <= l->ends_at || MUTANT(forward_pass_late))
-		return true;
-	return f->req->arrived < l->late_from && clk_now() + f->route->target <= l->ends_at;
+	return stopping_permits(&f->list->stop, clk_now(), f->req->arrived, f->route->target,
+				f->deadline);
 }
 
 /* Whether the upstream is in a region that may serve the route. */
@@ -839,8 +825,7 @@
 
 void forward_begin_stop(struct forward_list *l, clk_ms now, clk_ms end)
 {
-	l->late_from = now + STOP_LATE_MS;
-	l->ends_at = end;
+	stopping_begin(&l->stop, now, end);
 }
 
 void forward_close(struct forward_list *l)
@@ -884,7 +869,7 @@
 	if (!l)
 		abort();
 	l->env = *env;
-	l->ends_at = CLK_NEVER;
+	l->stop = STOPPING_NOT;
 	crash_env = (struct crash_env){env->loop, env->fleet, env->data, env->on_crash};
 	l->checker = crash_checker_create(&crash_env);
 	return l;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -61,8 +61,8 @@
 size_t forward_list_open(const struct forward_list *l);
 
 /*
- * A planned stop begins; the process ends at `end`. From now on a request is passed on only if its
- * answer can be expected by then; others are refused at once, since another gateway can serve them.
+ * A planned stop begins; the process ends at `end`. Requests that stopping_permits() excludes are
+ * refused at once from now on.
  */
 void forward_begin_stop(struct forward_list *l, clk_ms now, clk_ms end);
 /*
