--- a/src/base/str.c
+++ b/src/base/str.c
@@ -23,6 +23,17 @@
 	return s.len >= prefix.len && str_eq((struct str){s.ptr, prefix.len}, prefix);
 }
 
+struct str str_trim(struct str s)
+{
+	while (s.len && (*s.ptr == ' ' || *s.ptr == '\t')) {
+		s.ptr++;
+		s.len--;
+	}
+	while (s.len && (s.ptr[s.len - 1] == ' ' || s.ptr[s.len - 1] == '\t'))
+		s.len--;
+	return s;
+}
+
 struct str str_split(struct str s, char sep, struct str *rest)
 {
 	const char *found = s.len ? memchr(s.ptr, sep, s.len) : NULL;
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -22,6 +22,9 @@
 bool str_eq_cstr(struct str a, const char *cstr);
 bool str_starts_with(struct str s, struct str prefix);
 
+/* Returns `s` without spaces and tabs at its ends. */
+struct str str_trim(struct str s);
+
 /*
  * Splits at the first `sep`: returns the part before `sep` and stores the part after it in `*rest`.
  * Without a `sep` returns `s` and sets `*rest` to STR_NULL.
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -251,17 +251,6 @@
 
 /* ---- request -------------------------------------------------------------------------------- */
 
-static struct str trim(struct str s)
-{
-	while (s.len && (*s.ptr == ' ' || *s.ptr == '\t')) {
-		s.ptr++;
-		s.len--;
-	}
-	while (s.len && (s.ptr[s.len - 1] == ' ' || s.ptr[s.len - 1] == '\t'))
-		s.len--;
-	return s;
-}
-
 static bool equals_ignoring_case(struct str s, const char *text)
 {
 	return s.len == strlen(text) && strncasecmp(s.ptr, text, s.len) == 0;
@@ -270,7 +259,7 @@
 static bool list_has_token(struct str value, const char *token)
 {
 	while (value.len) {
-		struct str item = trim(str_split(value, ',', &value));
+		struct str item = str_trim(str_split(value, ',', &value));
 
 		if (equals_ignoring_case(item, token))
 			return true;
@@ -317,7 +306,7 @@
 
 		out[i].name =
 			arena_str(&req->arena, (struct str){headers[i].name, headers[i].name_len});
-		out[i].value = trim(arena_str(
+		out[i].value = str_trim(arena_str(
 			&req->arena, (struct str){headers[i].value, headers[i].value_len}));
 		name = (char *)out[i].name.ptr;
 		for (size_t k = 0; k < out[i].name.len; k++)
--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -61,15 +61,8 @@
 	struct str rest = {h->value, h->value_len};
 
 	while (rest.len) {
-		struct str item = str_split(rest, ',', &rest);
+		struct str item = str_trim(str_split(rest, ',', &rest));
 
-		while (item.len && (*item.ptr == ' ' || *item.ptr == '\t')) {
-			item.ptr++;
-			item.len--;
-		}
-		while (item.len &&
-		       (item.ptr[item.len - 1] == ' ' || item.ptr[item.len - 1] == '\t'))
-			item.len--;
 		if (item.len == strlen(token) && strncasecmp(item.ptr, token, item.len) == 0)
 			return true;
 	}
