forward, ingress, test: what the failure of script-mesh left open can be told next time

The line of a request names the owner of the key as this gateway knows it, so a missing map and a missing registration differ; whole logs of a failed script stay in build/failed-logs. Lint: a response without a body hands no pointer with a length to memcpy.

--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -680,7 +680,8 @@
 			 const struct ingress_header *headers, size_t n, char *body, size_t len)
 {
 	if (req->conn)
-		write_answer(req->conn, status, headers, n, (struct str){body, len}, body, false);
+		write_answer(req->conn, status, headers, n,
+			     body ? (struct str){body, len} : STR_NULL, body, false);
 	else
 		free(body);
 }
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -121,17 +121,27 @@
 	forward_release(f);
 }
 
+/* Returns the owner of the request's key as this gateway knows it, 0 if it knows none. */
+static uint64_t known_owner(const struct forward *f)
+{
+	const struct slot_pool *pool = f->slot_request.pool;
+
+	return pool && pool->keyed ? slots_owner(pool, f->key) : 0;
+}
+
 /* Logs one line per request with its outcome and the data behind the decisions. */
 static void log_outcome(const struct forward *f, int status, const char *outcome)
 {
 	clk_ms now = clk_now();
 
 	log_write(&log, LOG_INFO, f->request_id,
-		  "%s status=%d why=%s route=%.*s service=%.*s key=%u upstream=%s sends=%u "
+		  "%s status=%d why=%s route=%.*s service=%.*s key=%u owner=%016llx upstream=%s "
+		  "sends=%u "
 		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld config=%llu",
 		  outcome, status, f->why ? f->why : "-", f->route ? (int)f->route->name.len : 1,
 		  f->route ? f->route->name.ptr : "-", f->service ? (int)f->service->name.len : 1,
 		  f->service ? f->service->name.ptr : "-", f->key,
+		  (unsigned long long)known_owner(f),
 		  f->upstream ? f->upstream->id : f->last_upstream, f->sends,
 		  (unsigned long long)f->controller, f->ahead, (long long)f->waited,
 		  (long long)(now - f->req->arrived), (long long)(f->deadline - now),
--- a/test/scripts/lib.sh
+++ b/test/scripts/lib.sh
@@ -55,6 +55,11 @@
 		echo "last lines of the programs' logs:" >&2
 		tail -n 20 "$WORK"/*.log >&2 2>/dev/null
 	fi
+	# The logs of a failure that no mutant causes are kept.
+	if [ "$code" -ne 0 ] && [ -n "$WORK" ] && [ -z "${BAMBOOCROFT_MUTANT:-}" ]; then
+		mkdir -p "$ROOT/build/failed-logs"
+		cp -r "$WORK" "$ROOT/build/failed-logs/$(basename "$0" .sh)-$$"
+	fi
 	[ -z "$WORK" ] || rm -rf "$WORK"
 	exit "$code"
 }
