--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -404,7 +404,8 @@
         for proxy in self.proxies.values():
             proxy.end_fault()
         for name in self.upstreams:
-            self.set_notice(name, limit="", leaving="", retry_after="", shed=0)
+            # A process that does not listen yet has just started, without a notice.
+            self.try_fault(self.set_notice, name, limit="", leaving="", retry_after="", shed=0)
             self.register_upstream(name)
         self.log_event("all faults ended")
 
@@ -588,6 +589,7 @@
     try:
         violations = soak.run()
     finally:
+        soak.stopping.set()  # callers would keep the program running after an exception
         soak.stop_all()
     runs, incarnations = soak.read_ledgers()
     violations += (soak.check_requests(runs) + soak.check_owners(incarnations) +
