--- a/review/harness.py
+++ b/review/harness.py
@@ -124,6 +124,7 @@
                 head += f"{name}: {value}\r\n"
             writer.write(head.encode() + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
             line, answer = await read_head(reader)
+            answer[":line"] = line
             return int(line.split()[1]), answer, await read_body(reader, answer)
     except (OSError, asyncio.TimeoutError, TimeoutError, asyncio.IncompleteReadError, ValueError) as e:
         return None, {}, type(e).__name__.encode()
