--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A backend answers without a length; a part of its answers is broken off by a reset of the connection."""
+"""Backends answer without a length; of two of three, a part of the answers is broken off by a reset."""
 import asyncio
 import os
 import random
@@ -10,18 +10,20 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import harness as h  # noqa: E402
 
-REQUESTS = 400
+REQUESTS = 3000
+CALLERS = 4                  # at a time
 ANSWER_BYTES = 40000         # head and body
 BLOCK = 4096                 # the backend writes its answers in blocks of this size
-BROKEN_SHARE = 0.4           # of the answers: `garble` with x = 0.4
+BACKENDS, FAULTY = 3, 2      # a share of 0.67
+BROKEN_SHARE = 0.05          # of the answers: `garble` with how = "unframed", x = 0.05
 
 
 class Streaming:
     """A backend of a service without keys that writes answers without a length, block by block."""
 
-    def __init__(self, world, entry):
-        self.world, self.entry, self.bodies = world, entry, {}
-        self.rng = random.Random(1)
+    def __init__(self, world, entry, seed, bodies):
+        self.world, self.entry, self.bodies = world, entry, bodies
+        self.rng = random.Random(seed)
         self.trouble = False
         self.listener = socket.create_server(entry.address, backlog=200)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -66,29 +68,33 @@
     store = h.Store(world)
     await asyncio.sleep(0.3)
     await store.put("op", "config", h.config(5, [("read", "/read/", "unsafe", "plain", 3000)], [("plain", False)]))
-    entry = h.Backend(world, store, "i-0", "plain", "meseta-a", slots=4)
-    backend = Streaming(world, entry)
-    await entry.register()
+    bodies = {}
+    entries = [h.Backend(world, store, f"i-{n}", "plain", "meseta-a", slots=4) for n in range(BACKENDS)]
+    backends = [Streaming(world, entry, n, bodies) for n, entry in enumerate(entries)]
+    for entry in entries:
+        await entry.register()
     gateway = h.Gateway(world, store, 1, "meseta-a")
     gateway.start()
-    tasks = [asyncio.ensure_future(entry.beat())]
+    tasks = [asyncio.ensure_future(entry.beat()) for entry in entries]
     await h.until(gateway.is_ready, 20, "ready")
     await asyncio.sleep(1)
-    backend.trouble = h.TROUBLE
-    client, short, counts = h.Client(world), 0, {}
-    for n in range(REQUESTS):
-        attempt, status, answer, body = await client.send(gateway, f"/read/{n}", method="POST", body=b"x")
-        counts[status] = counts.get(status, 0) + 1
-        if status == 200 and body != backend.bodies[attempt]:
-            short += 1
-            world.record(f"{attempt}: 200 with X-Response-Seal {answer.get('x-response-seal')} and Content-Length "
-                         f"{answer.get('content-length')}; the backend's body has {len(backend.bodies[attempt])} bytes")
-        if status != 200:
-            await asyncio.sleep(0.2)  # the gateway pauses a backend that breaks off
+    for backend in backends[:FAULTY]:
+        backend.trouble = h.TROUBLE
+    client, short, counts, rest = h.Client(world), [], {}, iter(range(REQUESTS))
+
+    async def caller():
+        for n in rest:
+            attempt, status, answer, body = await client.send(gateway, f"/read/{n}", method="POST", body=b"x")
+            counts[status] = counts.get(status, 0) + 1
+            if status == 200 and body != bodies[attempt]:
+                short.append(attempt)
+                world.record(f"{attempt}: 200 with X-Response-Seal {answer.get('x-response-seal')} and Content-Length "
+                             f"{answer.get('content-length')}; the backend's body has {len(bodies[attempt])} bytes")
+    await asyncio.gather(*[caller() for _ in range(CALLERS)])
     world.closing = True
-    print(f"answers {counts}; {short} answers with 200 and a part of the backend's body")
-    world.record(f"answers {counts}; {short} with 200 and a part of the backend's body")
-    return short == 0
+    print(f"answers {counts}; {len(short)} answers with 200 and a part of the backend's body")
+    world.record(f"answers {counts}; {len(short)} with 200 and a part of the backend's body")
+    return not short
 
 
 h.run(os.path.dirname(os.path.abspath(__file__)), main)
