--- a/review/harness.py
+++ b/review/harness.py
@@ -5,6 +5,7 @@
 instance or a key that isn't held, X-Response-Seal, an echo of X-Attempt-Id, registration in the store.
 """
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -32,6 +33,11 @@
     pass
 
 
+def end_with_parent():
+    """In a child process: the kernel kills it when this script ends, however it ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 def ms(text):
     return float(text[:-2]) if text.endswith("ms") else float(text[:-1]) * 1000
 
@@ -68,8 +74,8 @@
         self.work = tempfile.mkdtemp(prefix="review-")
         self.processes = []
         pid = os.getpid()
-        self.net = f"127.{64 + (pid >> 16 & 63)}.{pid >> 8 & 255}"
-        self.host = pid & 127
+        self.net = f"127.{64 + (pid >> 8 & 63)}.{pid & 255}"  # of this run alone
+        self.host = 1
         self.port = 21001
         self.closing = False
         self.record(f"TROUBLE={int(TROUBLE)}")
@@ -95,7 +101,8 @@
 
     def spawn(self, name, argv, env=None):
         with open(os.path.join(self.work, name + ".log"), "ab") as log:
-            p = subprocess.Popen(argv, stdout=log, stderr=log, cwd=ROOT, env={**os.environ, **(env or {})})
+            p = subprocess.Popen(argv, stdout=log, stderr=log, cwd=ROOT, env={**os.environ, **(env or {})},
+                                 preexec_fn=end_with_parent)
         self.processes.append(p)
         self.record(f"{name} started, process {p.pid}")
         return p
@@ -400,6 +407,11 @@
     """Runs main(world), which returns whether the rule held; exits with 0, 1 (broken) or 2 (couldn't run)."""
     world = World(case_dir)
     code = 2
+
+    def on_stop(number, _):
+        world.record(f"stopped by {signal.Signals(number).name}")
+        raise SystemExit(2)
+    signal.signal(signal.SIGTERM, on_stop)
     try:
         held = asyncio.run(main(world))
         code = 0 if held else 1
