--- a/review/harness.py
+++ b/review/harness.py
@@ -69,7 +69,9 @@
     """Directory, record and processes of one run."""
 
     def __init__(self, case_dir):
-        self.record_file = open(os.path.join(case_dir, "record.txt"), "w", encoding="utf-8")
+        path = os.path.join(case_dir, "record.txt")
+        open(path, "w", encoding="utf-8").close()
+        self.record_file = open(path, "a", encoding="utf-8")  # a backend of case 1 appends to it, too
         self.start = time.monotonic()
         self.work = tempfile.mkdtemp(prefix="review-")
         self.processes = []
@@ -99,10 +101,10 @@
                     continue
             return ip, self.port
 
-    def spawn(self, name, argv, env=None):
+    def spawn(self, name, argv, env=None, keep=()):
         with open(os.path.join(self.work, name + ".log"), "ab") as log:
             p = subprocess.Popen(argv, stdout=log, stderr=log, cwd=ROOT, env={**os.environ, **(env or {})},
-                                 preexec_fn=end_with_parent)
+                                 preexec_fn=end_with_parent, pass_fds=keep)
         self.processes.append(p)
         self.record(f"{name} started, process {p.pid}")
         return p
