upconn: keep the error of a read that follows bytes

Cause: the kernel reports a reset once. If the bytes that waited filled the input buffer exactly, upconn_read_some() read once more, got ECONNRESET, and returned the bytes without it. The next read returned 0, which passes for the orderly close that ends an answer without a length.

The error is returned together with the bytes. upconn_on_read() already handled both: the bytes are parsed first, and what is complete by its own framing is still delivered. The connection is not reused.

--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -389,10 +389,11 @@
 		do
 			n = read(h2o_socket_get_fd(sock), space.base, max);
 		while (n == -1 && errno == EINTR);
+		/* The kernel reports an error once; the next read would find an orderly close. */
 		if (n == -1 && errno != EAGAIN && errno != EWOULDBLOCK)
-			return total ? NULL : h2o_socket_error_io;
+			return total && MUTANT(upconn_drop_read_error) ? NULL : h2o_socket_error_io;
 		if (n == 0)
-			return total ? NULL : h2o_socket_error_closed;
+			return h2o_socket_error_closed;
 		if (n > 0) {
 			sock->input->size += (size_t)n;
 			total += (size_t)n;
--- a/src/connection/upconn_priv.h
+++ b/src/connection/upconn_priv.h
@@ -112,7 +112,7 @@
 void upconn_call_abort(struct upconn_call *call, enum upconn_result result);
 /*
  * Reads what waits in the socket into its input buffer, up to a limit; the loop reports the rest
- * again. Returns NULL, or why nothing more can be read.
+ * again. Returns NULL, or why nothing more can be read, which may come with the last bytes.
  */
 const char *upconn_read_some(h2o_socket_t *sock);
 /* Read callback of a connection that carries a call. */
--- a/test/unit_loop.h
+++ b/test/unit_loop.h
@@ -158,6 +158,15 @@
 	c->second_part = NULL;
 }
 
+/* Closes the connection with a reset, which discards what the client has not acknowledged. */
+static inline void unit_reset(struct unit_conn *c)
+{
+	const struct linger reset = {1, 0};
+
+	setsockopt(h2o_socket_get_fd(c->sock), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	unit_close(c);
+}
+
 static inline void unit_on_written(h2o_socket_t *sock, const char *err)
 {
 	struct unit_conn *c = sock->data;
--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -9,6 +9,7 @@
 
 #define IP unit_ip()
 #define LONG_TIMEOUT_MS 50000
+#define RESET_ANSWER_BYTES 100000
 
 /* How the server answers requests, and what it does with the connection. */
 struct script {
@@ -16,6 +17,7 @@
 	size_t cut;	       /* the answer is written in two parts, split at this offset */
 	bool close_after;
 	bool close_without_answer;
+	size_t reset_after; /* the answer is cut after so many bytes, by a reset; 0: off */
 	char last_request[4096];
 	struct unit_conn *unanswered; /* connection of the last request that was not answered */
 };
@@ -56,6 +58,12 @@
 		s->unanswered = c;
 		return;
 	}
+	if (s->reset_after) {
+		ck_assert_int_eq(send(h2o_socket_get_fd(c->sock), answer.ptr, s->reset_after, 0),
+				 (ssize_t)s->reset_after);
+		unit_reset(c);
+		return;
+	}
 	c->close_after = s->close_after;
 	unit_reply_split(c, answer, s->cut);
 }
@@ -985,6 +993,38 @@
 }
 END_TEST
 
+/*
+ * Guards against the loss of a reset that follows the bytes of a response: without its length, the
+ * part that arrived would pass for the whole. The bytes fill the input buffer exactly, or nearly.
+ */
+START_TEST(reset_close_delimited_answer_is_not_accepted)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+	static const size_t sizes[] = {4096, 8192, 12288, 16384, 24576, 32768, 65536};
+	struct upconn_options opts = {.max_idle = 4, .allow_close_delimited = true};
+	char *answer = malloc(RESET_ANSWER_BYTES);
+
+	memset(answer, 'x', RESET_ANSWER_BYTES);
+	memcpy(answer, head, sizeof(head) - 1);
+	for (size_t i = 0; i < 3 * sizeof(sizes) / sizeof(sizes[0]); i++) {
+		struct upconn_request req = get("/");
+		struct fixture f;
+		struct outcome o = {0};
+
+		setup(&f);
+		replace_pool(&f, &opts);
+		f.script.answers[0] = (struct str){answer, RESET_ANSWER_BYTES};
+		f.script.reset_after = sizes[i / 3] + i % 3 - 1;
+		make_call(&f, &req, &o);
+		ck_assert_msg(o.result == UPCONN_BROKE, "%s after %zu bytes and a reset",
+			      upconn_result_name(o.result), f.script.reset_after);
+		free(o.body);
+		teardown(&f);
+	}
+	free(answer);
+}
+END_TEST
+
 /* Guards against failing a call because a late response to another request precedes its own. */
 START_TEST(mismatched_answer_is_skipped)
 {
@@ -1088,17 +1128,10 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"upconn_accept_other_id",
-	"upconn_reuse_unread",
-	"upconn_keep_after_timeout",
-	"upconn_accept_truncated",
-	"upconn_skip_may_send",
-	"upconn_reset_keeps_idle",
-	"upconn_close_in_order",
-	"answers_unlimited",
-	"upconn_read_all",
-	"blocks_copy",
-	NULL,
+	"upconn_accept_other_id",  "upconn_reuse_unread",  "upconn_keep_after_timeout",
+	"upconn_accept_truncated", "upconn_skip_may_send", "upconn_reset_keeps_idle",
+	"upconn_close_in_order",   "answers_unlimited",	   "upconn_read_all",
+	"upconn_drop_read_error",  "blocks_copy",	   NULL,
 };
 
 /*
@@ -1446,6 +1479,7 @@
 	tcase_add_test(tc, number_of_idle_connections_is_limited);
 	tcase_add_test(tc, mutated_answers);
 	tcase_add_test(tc, close_delimited_answer_is_accepted);
+	tcase_add_test(tc, reset_close_delimited_answer_is_not_accepted);
 	tcase_add_test(tc, mismatched_answer_is_skipped);
 	tcase_add_test(tc, answer_without_request_id_is_a_mismatch);
 	tcase_add_test(tc, idle_timeout_of_the_server_is_respected);
