upconn: an end after a failed write is no orderly close

Cause: the kernel reports a reset to the first call that asks. After a poll, h2o's loop writes the rest of the request before the read callback runs; the write takes the error, and the reads find the bytes and then 0.

While the request is not known to be written, an end counts as an orderly close only if the kernel has the connection in the state that follows the server's close. After a reset that a write reported, it is closed.

A server that closes in order during the request still ends its answer (the test's other half).

--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -2,6 +2,7 @@
 #include "connection/upconn_priv.h"
 
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -402,6 +403,25 @@
 	return NULL;
 }
 
+/*
+ * Whether the server closed the connection in order, after a read that found its end. A write that
+ * fails takes the error of a reset away, so that the next read finds an end as well.
+ */
+static bool closed_in_order(const struct upconn_call *call, h2o_socket_t *sock)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	if (!call->writing || MUTANT(upconn_trust_end))
+		return true;
+	if (getsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_INFO, &info, &len) != 0) {
+		log_warn(&log, "cannot tell whether %s reset a connection: %s", call->pool->host,
+			 strerror(errno));
+		return false;
+	}
+	return info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 void upconn_on_read(h2o_socket_t *sock, const char *err)
 {
 	struct upconn_conn *c = sock->data;
@@ -434,7 +454,7 @@
 	if (!err)
 		return;
 	if (call->have_head && call->framing == UPCONN_FRAMING_CLOSE &&
-	    err == h2o_socket_error_closed && !call->mismatched) {
+	    err == h2o_socket_error_closed && !call->mismatched && closed_in_order(call, sock)) {
 		upconn_call_finish(call, UPCONN_OK, false);
 		return;
 	}
--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -1025,6 +1025,46 @@
 }
 END_TEST
 
+/*
+ * Guards against the loss of a reset that a write of the request reports: the read after it finds
+ * an orderly close, and without its length the part that arrived would pass for the whole. An
+ * orderly close before the request is completely written still ends the response.
+ */
+START_TEST(reset_during_the_request_is_not_an_orderly_close)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\n\r\nbody";
+	struct upconn_options opts = {.max_idle = 4, .allow_close_delimited = true};
+	size_t len = 16 * 1024 * 1024;
+	char *body = calloc(1, len);
+
+	for (int reset = 0; reset < 2; reset++) {
+		struct upconn_request req = get("/");
+		struct fixture f;
+		struct outcome o = {0};
+		int fd;
+
+		setup(&f);
+		replace_pool(&f, &opts);
+		req.method = STR_LIT("POST");
+		req.body = (struct str){body, len};
+		upconn_send(f.pool, &req, on_answer, &o);
+		ck_assert(unit_run_until(f.loop, has_accepted, &f));
+		h2o_socket_read_stop(f.server.conns->sock);
+		fd = h2o_socket_get_fd(f.server.conns->sock);
+		ck_assert_int_eq(send(fd, answer, sizeof(answer) - 1, 0), sizeof(answer) - 1);
+		if (reset)
+			unit_reset(f.server.conns);
+		else
+			shutdown(fd, SHUT_WR);
+		ck_assert(unit_run_until(f.loop, is_done, &o));
+		ck_assert_int_eq(o.result, reset ? UPCONN_BROKE : UPCONN_OK);
+		free(o.body);
+		teardown(&f);
+	}
+	free(body);
+}
+END_TEST
+
 /* Guards against failing a call because a late response to another request precedes its own. */
 START_TEST(mismatched_answer_is_skipped)
 {
@@ -1128,10 +1168,19 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"upconn_accept_other_id",  "upconn_reuse_unread",  "upconn_keep_after_timeout",
-	"upconn_accept_truncated", "upconn_skip_may_send", "upconn_reset_keeps_idle",
-	"upconn_close_in_order",   "answers_unlimited",	   "upconn_read_all",
-	"upconn_drop_read_error",  "blocks_copy",	   NULL,
+	"upconn_accept_other_id",
+	"upconn_reuse_unread",
+	"upconn_keep_after_timeout",
+	"upconn_accept_truncated",
+	"upconn_skip_may_send",
+	"upconn_reset_keeps_idle",
+	"upconn_close_in_order",
+	"answers_unlimited",
+	"upconn_read_all",
+	"upconn_drop_read_error",
+	"upconn_trust_end",
+	"blocks_copy",
+	NULL,
 };
 
 /*
@@ -1480,6 +1529,7 @@
 	tcase_add_test(tc, mutated_answers);
 	tcase_add_test(tc, close_delimited_answer_is_accepted);
 	tcase_add_test(tc, reset_close_delimited_answer_is_not_accepted);
+	tcase_add_test(tc, reset_during_the_request_is_not_an_orderly_close);
 	tcase_add_test(tc, mismatched_answer_is_skipped);
 	tcase_add_test(tc, answer_without_request_id_is_a_mismatch);
 	tcase_add_test(tc, idle_timeout_of_the_server_is_respected);
