upconn: refuse a status code that HTTP does not have

Cause: picohttpparser takes any three digits, and read_head() took every code outside 100 to 199 as that of a final answer. forward.c delivers a signed answer below 300, and ingress.c prints the number.

The new test of unit_upconn, status_code_outside_its_range_is_refused, on the code before: "000: ok, status 0".

A code below 100 or above 599 is malformed: the call ends as broken, the caller gets 502 or the attempt is repeated where that is allowed, and the connection is closed.

--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -12,6 +12,8 @@
 #include "base/mutant.h"
 
 #define MAX_HEADERS 100
+#define MIN_STATUS 100
+#define MAX_STATUS 599
 /* Limit on the chunk sizes, extensions and trailers of a response, in addition to the limit on its
  * body. */
 #define MAX_CHUNK_OVERHEAD_BYTES (1024u * 1024)
@@ -225,6 +227,10 @@
 		call_malformed(call, "the head of the answer cannot be parsed");
 		return STEP_CALL_ENDED;
 	}
+	if ((status < MIN_STATUS || status > MAX_STATUS) && !MUTANT(upconn_any_status)) {
+		call_malformed(call, "the status code of the answer is not one from 100 to 599");
+		return STEP_CALL_ENDED;
+	}
 	if (status >= 100 && status < 200) {
 		if (status == 101 || ++call->n_interim > MAX_INTERIM_ANSWERS) {
 			call_malformed(call, "status 101, or too many interim (1xx) answers");
--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -667,6 +667,34 @@
 }
 END_TEST
 
+/* Guards against passing a status code on that HTTP does not have: the caller could not read it. */
+START_TEST(status_code_outside_its_range_is_refused)
+{
+	static const char *const codes[] = {"000", "001", "042", "099", "600", "999", "2000"};
+
+	for (size_t i = 0; i < sizeof(codes) / sizeof(codes[0]); i++) {
+		struct fixture f;
+		struct outcome o = {0};
+		struct upconn_request req = get("/");
+		char answer[100];
+
+		setup(&f);
+		snprintf(answer, sizeof(answer),
+			 "HTTP/1.1 %s Answer\r\ncontent-length: 3\r\n\r\nbad", codes[i]);
+		f.script.answers[0] = str_from(answer);
+		f.script.answers[1] = STR_LIT("HTTP/1.1 599 Last\r\ncontent-length: 0\r\n\r\n");
+		make_call(&f, &req, &o);
+		ck_assert_msg(o.result == UPCONN_BROKE, "%s: %s, status %d", codes[i],
+			      upconn_result_name(o.result), o.status);
+		make_call(&f, &req, &o);
+		ck_assert_int_eq(o.status, 599);
+		ck_assert(!o.reused);
+		free(o.body);
+		teardown(&f);
+	}
+}
+END_TEST
+
 /* Guards against waiting for a body that a response does not have by its status or method. */
 START_TEST(answers_without_a_body)
 {
@@ -1179,6 +1207,7 @@
 	"upconn_read_all",
 	"upconn_drop_read_error",
 	"upconn_trust_end",
+	"upconn_any_status",
 	"blocks_copy",
 	NULL,
 };
@@ -1519,6 +1548,7 @@
 	tcase_add_test(tc, data_on_an_idle_connection_closes_it);
 	tcase_add_test(tc, answer_split_at_every_byte);
 	tcase_add_test(tc, malformed_answers_are_refused);
+	tcase_add_test(tc, status_code_outside_its_range_is_refused);
 	tcase_add_test(tc, answers_without_a_body);
 	tcase_add_test(tc, answer_size_is_limited);
 	tcase_add_test(tc, large_bodies_arrive_complete);
