--- a/test/unit_plat.c
+++ b/test/unit_plat.c
@@ -482,6 +482,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a grant that its upstream cannot read because of what another upstream named as
+ * the handover of its release: the keys would have no owner.
+ */
+START_TEST(any_handover_leaves_the_grant_readable)
+{
+	static const char *const named[] = {
+		"5c0e\"7a21", "5c0e\\", "\tx", "x\",\"fence\":\"9", "\xff\xfe",
+	};
+	struct arena a = ARENA_INIT;
+
+	for (size_t i = 0; i < sizeof(named) / sizeof(named[0]); i++) {
+		struct platform_grant g = {.from = 1,
+					   .to = 2,
+					   .fence = 12,
+					   .hold = 4000,
+					   .handover = str_from(named[i])};
+		struct str body = plat_grant_body(&a, &g);
+		json_t *root = json_loadb(body.ptr, body.len, JSON_REJECT_DUPLICATES, NULL);
+		const char *handover = json_string_value(json_object_get(root, "handover"));
+
+		ck_assert_msg(json_is_object(root), "%.*s", STR_ARG(body));
+		ck_assert_int_eq(json_integer_value(json_object_get(root, "fence")), 12);
+		/* Bytes that JSON cannot carry leave the grant without a handover. */
+		ck_assert(handover ? strcmp(handover, named[i]) == 0 : i == 4);
+		json_decref(root);
+	}
+	arena_free(&a);
+}
+END_TEST
+
 /* Guards against taking an evacuation row for a configuration or the other way round. */
 START_TEST(evacuation_rows)
 {
@@ -571,7 +602,7 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"config_any_name", NULL};
+static const char *const mutants[] = {"config_any_name", "grant_raw_handover", NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -587,6 +618,7 @@
 	tcase_add_test(tc, grant_bodies);
 	tcase_add_test(tc, notices_are_read);
 	tcase_add_test(tc, strange_notices_count_as_absent);
+	tcase_add_test(tc, any_handover_leaves_the_grant_readable);
 	tcase_add_test(tc, evacuation_rows);
 }
 
