shardmgr: find out who is at an address before keys are granted there

Cause: a grant or release names no upstream, so whoever listens at the address carries it out. After the connection for grants had ended, grant_step() took a new fencing token and sent it to the registered address. The token guards only against a former process of the same upstream; nothing found out which one is there.

A grant or release is sent only where the upstream is known to be: over the connection on which it answered last, since a connection leads to one process as long as it is open, or within the platform's reuse-after of such an answer, when nobody else can have the address. Otherwise a health check goes first, over the connection for grants, and has to name the upstream's id. Another id ends the upstream's use, as a 421 of another instance does. The check whether a failing upstream answers again compares the id too. A former owner that cannot be identified gets no release; its lease is waited out.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -104,6 +104,7 @@
 		.watch = g->watch,
 		.fleet = g->fleet,
 		.hold_max = g->settings.hold_max,
+		.address_reuse = g->settings.address_reuse,
 		.row_bytes = g->settings.row_bytes,
 		.node = g->node,
 		.data = g,
--- a/src/process/gwset.h
+++ b/src/process/gwset.h
@@ -49,8 +49,10 @@
 	 */
 	double cold_overrun;
 	uint32_t cold_slack;
-	size_t row_bytes; /* largest value of a row of the store, in base64 */
-	clk_ms hold_max;  /* longest lease of keys that upstreams accept */
+	size_t row_bytes;     /* largest value of a row of the store, in base64 */
+	clk_ms hold_max;      /* longest lease of keys that upstreams accept */
+	clk_ms address_reuse; /* shortest time from the end of an upstream until another one gets
+				 its address */
 };
 
 void gwset_free(struct gwset *s);
--- a/src/process/shardmgr.h
+++ b/src/process/shardmgr.h
@@ -38,7 +38,9 @@
 	struct meta *meta;
 	struct watch *watch;
 	struct fleet *fleet;
-	clk_ms hold_max;  /* longest key lease that may be granted */
+	clk_ms hold_max; /* longest key lease that may be granted */
+	/* No upstream gets the address of another one earlier than this after the other's end. */
+	clk_ms address_reuse;
 	size_t row_bytes; /* longest value of a row of the store, counted in base64 */
 	uint64_t node;	  /* this gateway */
 	void *data;	  /* first argument of the callbacks below */
--- a/src/process/shardmgr_lease.c
+++ b/src/process/shardmgr_lease.c
@@ -28,7 +28,6 @@
 #define GRANT_TIMEOUT_MS 600
 /* An upstream answers a release after the requests that use the keys have ended. */
 #define RELEASE_TIMEOUT_MS 2500
-#define CONNECT_TIMEOUT_MS 400
 /* Pause after a failed grant or release. */
 #define RETRY_PAUSE_MS 250
 /*
@@ -124,7 +123,7 @@
 	const struct fleet_upstream *u = fleet_find(mgr->env.fleet, num);
 	struct upconn_options opts = {
 		.max_idle = 1,
-		.connect_timeout = CONNECT_TIMEOUT_MS,
+		.connect_timeout = SHARDMGR_CONNECT_TIMEOUT_MS,
 		.dead_peer_timeout = 2000,
 		/* A grant that a network partition delays must not arrive after its timeout. */
 		.abort_on_close = true,
@@ -250,6 +249,8 @@
 
 	if (h)
 		h->grant_open = false;
+	if (h && a->result == UPCONN_OK && (a->status == 200 || a->status == 409))
+		shardmgr_note_identified(h, c->sent);
 	if (r)
 		r->call = NULL;
 	if (r && r->phase == KEY_RELEASING) {
@@ -440,7 +441,7 @@
 static void send_higher_fence(struct shardmgr *mgr, struct key_range *r, struct key_holder *h,
 			      clk_ms now)
 {
-	if (h->grant_open)
+	if (h->grant_open || !shardmgr_is_identified(h, now))
 		return;
 	if (r->higher_fence_sent) {
 		r->higher_fence_sent = false;
@@ -482,7 +483,8 @@
 		send_higher_fence(mgr, r, h, now);
 		return;
 	}
-	send_call(mgr, r, h, true, r->fence, now);
+	if (shardmgr_is_identified(h, now))
+		send_call(mgr, r, h, true, r->fence, now);
 }
 
 /* Whether the owner may be sent grants of the range; a successor knows only the stored map. */
@@ -520,6 +522,8 @@
 	if (r->call || now < r->next_call || !h || h->grant_open ||
 	    (h->due_first && h->due_first != r && !MUTANT(keeper_grant_by_key)))
 		return;
+	if (!shardmgr_is_identified(h, now))
+		return;
 	if (r->fence_conn && r->fence_conn != upconn_idle_conn(h->grants) &&
 	    !MUTANT(keeper_keep_fence)) {
 		log_info(&log,
--- a/src/process/shardmgr_priv.h
+++ b/src/process/shardmgr_priv.h
@@ -20,6 +20,8 @@
  * that it was replaced.
  */
 #define SHARDMGR_STORE_SILENCE_MS 2000
+/* Opening a connection to an upstream for longer than this fails. */
+#define SHARDMGR_CONNECT_TIMEOUT_MS 400
 /* Interval of the calls that confirm the role, and the time that each waits for a change. */
 #define SHARDMGR_CONFIRM_MS 900
 /*
@@ -112,8 +114,15 @@
 	struct upconn_pool *releases; /* a new connection for each release or health check */
 	int64_t started;	      /* start of the upstream's process that the pools belong to */
 	bool grant_open;	      /* a grant is in progress */
-	struct key_range *due_first;  /* in a tick: of its ranges, the first one due for a grant */
-	clk_ms failing_since;	      /* 0: no failure since the last answer to a grant or check */
+	/* Connection of `grants` that is known to lead to the upstream, 0: none. */
+	uint64_t identified_conn;
+	clk_ms identified_at;	      /* the upstream was at its address then, 0: not known */
+	struct upconn_call *id_check; /* asks for its id, NULL: not in progress */
+	struct upconn_request id_check_req;
+	clk_ms id_check_sent;
+	clk_ms id_check_due;	     /* earliest time of the next one */
+	struct key_range *due_first; /* in a tick: of its ranges, the first one due for a grant */
+	clk_ms failing_since;	     /* 0: no failure since the last answer to a grant or check */
 	struct shardmgr *shardmgr;
 	struct upconn_call *health_check; /* in progress, NULL: none */
 	struct upconn_request check_req;
@@ -257,6 +266,14 @@
 bool shardmgr_holder_ok(const struct shardmgr *mgr, uint64_t num, clk_ms now);
 /* Records that a grant or release failed, and schedules a health check at the first failure. */
 void shardmgr_record_failure(struct key_holder *h, clk_ms now);
+/*
+ * Whether a grant or release that is sent now reaches the upstream, and not another one that got
+ * its address. If that is not known, asks for the id at the address; the answer makes the next tick
+ * come soon.
+ */
+bool shardmgr_is_identified(struct key_holder *h, clk_ms now);
+/* Records that the upstream answered a grant that was sent at `sent`. */
+void shardmgr_note_identified(struct key_holder *h, clk_ms sent);
 /*
  * Sends the health checks that are due to failing upstreams. A failing upstream that was restarted
  * gets new connections instead and no longer counts as failing.
--- a/standin/standin_keyed.c
+++ b/standin/standin_keyed.c
@@ -240,6 +240,19 @@
 	ingress_request_free(req);
 }
 
+/* Answers a health check, which names the instance. */
+static void answer_health(struct ingress_request *req)
+{
+	const struct ingress_header headers[] = {
+		{STR_LIT("x-instance-id"), str_from(server.id)},
+		{STR_LIT("x-backend-load"),
+		 arena_printf(&req->arena, "%zu,0,2,100", server.running)},
+	};
+
+	ingress_reply(req, 200, headers, 2, STR_NULL, false);
+	ingress_request_free(req);
+}
+
 static void on_request(void *data, struct ingress_request *req)
 {
 	struct str expected = ingress_header(req, "x-expected-instance");
@@ -249,6 +262,10 @@
 		on_lease_order(req, str_eq_cstr(req->path, "/-/grant"));
 		return;
 	}
+	if (str_eq_cstr(req->path, "/health")) {
+		answer_health(req);
+		return;
+	}
 	server.arrived++;
 	if (!str_eq_cstr(expected, server.id) || !has_key_lease(req)) {
 		record_misplaced(ingress_header(req, "x-attempt-id"));
--- a/test/shardmgr_world.h
+++ b/test/shardmgr_world.h
@@ -17,6 +17,7 @@
 #define UPSTREAMS 4
 #define LEASE_MS 900
 #define LATE_MS 700
+#define ADDRESS_REUSE_MS 600
 #define SERVICE "s"
 #define STORE_WATCH_MS 50 /* the store answers a watch after this time */
 
@@ -313,8 +314,10 @@
 	int number;
 	struct ingress *ingress;
 	bool alive;
-	bool mute; /* carries out releases and grants, but does not answer */
-	bool late; /* carries out grants LATE_MS after their arrival and does not answer them */
+	bool mute;	     /* carries out releases and grants, but does not answer */
+	bool answers_checks; /* if mute: answers health checks */
+	bool late;  /* carries out grants LATE_MS after their arrival and does not answer them */
+	bool other; /* another instance has its address: it carries out all, like any upstream */
 	unsigned int process;	   /* number of the process; an earlier one carries out nothing */
 	uint64_t fence[KEY_SPACE]; /* highest token accepted for the key */
 	uint64_t granted_fence[KEY_SPACE]; /* highest token of this process's grants */
@@ -333,6 +336,7 @@
 	size_t low_fence_grants; /* tokens not above those of others or of earlier processes */
 	size_t unstored_grants;	 /* grants that the stored map does not allow */
 	size_t grants;
+	size_t other_calls;	   /* grants and releases that reached another instance */
 	char first_bad_grant[160]; /* what the first grant that was counted as a violation did */
 	/*
 	 * A release under a token that is above the highest accepted one by more than this counts
@@ -398,6 +402,18 @@
 		!stored_map_allows(&w->meta, from, to, fence, fleet_num(str_from(id)));
 }
 
+/* Answers a health check with the id of the instance. */
+static inline void reply_health(const struct server *s, struct ingress_request *req)
+{
+	char id[16];
+	struct ingress_header header = {.name = STR_LIT("x-instance")};
+
+	snprintf(id, sizeof(id), "%s%d", s->other ? "other" : "u", s->number);
+	header.value = str_from(id);
+	ingress_reply(req, 200, &header, 1, STR_NULL, false);
+	ingress_request_free(req);
+}
+
 static inline void reply(struct ingress_request *req, int status)
 {
 	static const struct ingress_header handover[] = {{{"x-handover", 10}, {"h1", 2}}};
@@ -471,10 +487,11 @@
 	long long hold;
 
 	if (str_eq_cstr(req->method, "GET")) {
-		if (!s->mute)
-			reply(req, 200);
+		if (!s->mute || s->answers_checks)
+			reply_health(s, req);
 		return;
 	}
+	s->world->other_calls += s->other;
 	ck_assert_int_eq(sscanf(req->body.ptr, "%u %u %llu %lld", &from, &to, &fence, &hold), 4);
 	if (hold && s->late) {
 		delay_grant(s, from, to, fence, now + hold);
@@ -532,7 +549,7 @@
 }
 
 static const struct platform platform = {
-	.headers = {.handover = "x-handover"},
+	.headers = {.handover = "x-handover", .instance = "x-instance"},
 	.grant_path = "/grant",
 	.release_path = "/release",
 	.key_space = KEY_SPACE,
@@ -610,6 +627,7 @@
 		.watch = w->watch,
 		.fleet = w->fleet,
 		.hold_max = LEASE_MS,
+		.address_reuse = ADDRESS_REUSE_MS,
 		.row_bytes = w->meta.row_bytes ? w->meta.row_bytes : 4096,
 		.data = w,
 		.capacity = capacity,
--- a/test/unit_shardmgr.c
+++ b/test/unit_shardmgr.c
@@ -167,19 +167,70 @@
 }
 END_TEST
 
-/* Guards against treating an unanswered grant as not carried out: its lease must expire first. */
+/*
+ * An upstream ends, and another instance gets its address while the registration is still there:
+ * with the store away (0), with its keys about to move (1), and with checks whether it answers
+ * again (2). Guards against granting keys to the other instance, which belongs to any service, or
+ * making it release some.
+ */
+START_TEST(other_instance_at_an_address_gets_no_keys)
+{
+	for (int variant = 0; variant < 3; variant++) {
+		static struct world w;
+		struct server *s = &w.servers[1];
+
+		start(&w);
+		w.agree = true;
+		w.meta.down = variant == 0;
+		ingress_destroy(s->ingress);
+		s->ingress = NULL;
+		for (uint32_t key = 0; key < KEY_SPACE; key++)
+			s->until[key] = 0;
+		unit_run_for(w.loop, ADDRESS_REUSE_MS);
+		s->other = true;
+		server_listen(s);
+		if (variant == 1)
+			register_upstream(&w, 1, true);
+		shardmgr_fleet_changed(w.mgrs[0]);
+		unit_run_for(w.loop, 4 * LEASE_MS);
+		ck_assert_msg(w.other_calls == 0, "%zu grants or releases in variant %d",
+			      w.other_calls, variant);
+		w.meta.down = false;
+		ck_assert(unit_run_until(w.loop, u1_has_no_keys, &w));
+		ck_assert_uint_eq(w.other_calls, 0);
+		check_no_violations(&w);
+		/* The upstream registers at another process of its own. */
+		ingress_destroy(s->ingress);
+		s->other = false;
+		server_listen(s);
+		register_process(&w, 1, false, 2);
+		shardmgr_fleet_changed(w.mgrs[0]);
+		unit_run_for(w.loop, LEASE_MS);
+		check_no_violations(&w);
+		teardown(&w);
+	}
+}
+END_TEST
+
+/*
+ * Guards against treating an unanswered grant as not carried out: its lease must expire first. An
+ * upstream that answers health checks goes on to get grants.
+ */
 START_TEST(unanswered_grants_count_as_leases)
 {
-	static struct world w;
+	for (int checks = 0; checks < 2; checks++) {
+		static struct world w;
 
-	start(&w);
-	w.servers[3].mute = true;
-	unit_run_for(w.loop, LEASE_MS * 3);
-	check_no_violations(&w);
-	w.servers[3].mute = false;
-	ck_assert(unit_run_until(w.loop, first_mgr_serves_all, &w));
-	check_no_violations(&w);
-	teardown(&w);
+		start(&w);
+		w.servers[3].answers_checks = checks;
+		w.servers[3].mute = true;
+		unit_run_for(w.loop, LEASE_MS * 3);
+		check_no_violations(&w);
+		w.servers[3].mute = false;
+		ck_assert(unit_run_until(w.loop, first_mgr_serves_all, &w));
+		check_no_violations(&w);
+		teardown(&w);
+	}
 }
 END_TEST
 
@@ -557,13 +608,11 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"keeper_grant_by_key", "keeper_refused_is_dead",
-	"keeper_skip_release", "keeper_forget_owner",
-	"keeper_act_early",    "keeper_never_isolated",
-	"keeper_keep_fence",   "keeper_restart_is_release",
-	"keeper_any_row",      "keeper_leave_failing",
-	"keeper_stay_trimmed", "keeper_await_heartbeat",
-	"keeper_mix_terms",    NULL,
+	"keeper_grant_by_key",	"keeper_refused_is_dead",    "keeper_skip_release",
+	"keeper_forget_owner",	"keeper_act_early",	     "keeper_never_isolated",
+	"keeper_keep_fence",	"keeper_restart_is_release", "keeper_any_row",
+	"keeper_leave_failing", "keeper_stay_trimmed",	     "keeper_await_heartbeat",
+	"keeper_mix_terms",	"keeper_trust_address",	     NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -580,6 +629,7 @@
 	tcase_add_test(tc, upstream_that_answers_again_gets_keys);
 	tcase_add_test(tc, new_process_gets_new_fences);
 	tcase_add_test(tc, restarted_upstream_releases_keys);
+	tcase_add_test(tc, other_instance_at_an_address_gets_no_keys);
 	tcase_add_test(tc, unanswered_grants_count_as_leases);
 	tcase_add_test(tc, late_grant_after_a_release);
 	tcase_add_test(tc, two_active_managers);
--- a/test/unit_shardmgr_history.c
+++ b/test/unit_shardmgr_history.c
@@ -893,7 +893,7 @@
 }
 
 static const struct platform history_platform = {
-	.headers = {.handover = "x-handover"},
+	.headers = {.handover = "x-handover", .instance = "x-instance"},
 	.grant_path = "/grant",
 	.release_path = "/release",
 	.key_space = KEY_SPACE,
@@ -914,6 +914,7 @@
 		.meta = (struct meta *)g, /* for history_driver */
 		.fleet = g->history->w.fleet,
 		.hold_max = LEASE_MS,
+		.address_reuse = ADDRESS_REUSE_MS,
 		.row_bytes = sizeof(((struct row *)NULL)->value),
 		.data = g,
 		.capacity = capacity,
