upconn: limits of its own for each pool; grants, releases, checks and the store share the answers' memory

Cause: the memory that all answers share was given to the pools of requests only. On the connections for grants, releases and health checks, and on those to the store, an answer could grow to 32 MiB, which suits requests; each release has a connection of its own for up to 2.5 s.

--- a/src/connection/upconn.c
+++ b/src/connection/upconn.c
@@ -588,6 +588,16 @@
 	return upconn_pool_create_with(loop, ip, port, &opts);
 }
 
+static void set_limits(struct upconn_pool *pool, size_t max_answer)
+{
+	pool->max_head = UPCONN_MAX_HEAD_BYTES;
+	pool->max_body = UPCONN_MAX_ANSWER_BYTES;
+	if (max_answer && max_answer < pool->max_head)
+		pool->max_head = max_answer;
+	if (max_answer && max_answer < pool->max_body)
+		pool->max_body = max_answer;
+}
+
 struct upconn_pool *upconn_pool_create_with(h2o_loop_t *loop, const char *ip, uint32_t port,
 					    const struct upconn_options *opts)
 {
@@ -599,6 +609,7 @@
 	pool->loop = loop;
 	pool->opts = *opts;
 	pool->id_header = opts->id_header ? opts->id_header : "x-request-id";
+	set_limits(pool, MUTANT(upconn_any_size) ? 0 : opts->max_answer);
 	pool->address.sin_family = AF_INET;
 	pool->address.sin_port = htons((uint16_t)port);
 	/* Not expected to fail: settings and configuration check addresses when they are read. */
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -136,6 +136,11 @@
 	bool allow_close_delimited;
 	/* Skips a complete response with another request id instead of closing the connection. */
 	bool skip_mismatched;
+	/*
+	 * Limit of the head and of the body of a response, in bytes each. 0: 64 KiB for the head,
+	 * UPCONN_MAX_ANSWER_BYTES for the body.
+	 */
+	size_t max_answer;
 	/* Counts and limits unfinished responses, shared by pools; outlives them. NULL: no limit.
 	 */
 	struct answer_memory *memory;
--- a/src/connection/upconn_answer.c
+++ b/src/connection/upconn_answer.c
@@ -18,7 +18,7 @@
  * body. */
 #define MAX_CHUNK_OVERHEAD_BYTES (1024u * 1024)
 /*
- * Bytes taken from a socket at once. What waits in it may be as much as the kernel's receive
+ * Most bytes taken from a socket at once. What waits in it may be as much as the kernel's receive
  * buffer, tens of MiB; an input buffer of that size would not be counted as memory of answers.
  */
 #define MAX_READ_BYTES (256u * 1024)
@@ -217,10 +217,10 @@
 
 	len = phr_parse_response(sock->input->bytes, sock->input->size, &minor_version, &status,
 				 &msg, &msg_len, headers, &n, 0);
-	if (len == -2 && sock->input->size <= UPCONN_MAX_HEAD_BYTES)
+	if (len == -2 && sock->input->size <= call->pool->max_head)
 		return STEP_NEED_INPUT;
-	if (len == -2 || len > (int)UPCONN_MAX_HEAD_BYTES) {
-		call_too_large(call, "the head of the answer is over 64 KiB");
+	if (len == -2 || len > (int)call->pool->max_head) {
+		call_too_large(call, "the head of the answer is over its limit");
 		return STEP_CALL_ENDED;
 	}
 	if (len < 0) {
@@ -267,9 +267,8 @@
 		upconn_call_finish(call, UPCONN_MISMATCH, false);
 		return STEP_CALL_ENDED;
 	}
-	if (call->framing == UPCONN_FRAMING_LENGTH &&
-	    call->content_length > UPCONN_MAX_ANSWER_BYTES) {
-		call_too_large(call, "the body of the answer is over 32 MiB");
+	if (call->framing == UPCONN_FRAMING_LENGTH && call->content_length > call->pool->max_body) {
+		call_too_large(call, "the body of the answer is over its limit");
 		return STEP_CALL_ENDED;
 	}
 	return STEP_CONTINUE;
@@ -326,7 +325,7 @@
 		h2o_buffer_consume(&sock->input, size);
 	}
 	if (call->body.len > upconn_max_answer(call) ||
-	    call->raw_body_bytes > UPCONN_MAX_ANSWER_BYTES + MAX_CHUNK_OVERHEAD_BYTES) {
+	    call->raw_body_bytes > call->pool->max_body + MAX_CHUNK_OVERHEAD_BYTES) {
 		call_too_large(call, "the body of the answer is over its limit");
 		return true;
 	}
@@ -381,8 +380,18 @@
 	return true;
 }
 
+/* Returns the bytes to take from a socket at once: no more than the largest response. */
+static size_t read_limit(const struct upconn_pool *pool)
+{
+	size_t largest = pool->max_head + pool->max_body;
+
+	return largest < MAX_READ_BYTES ? largest : MAX_READ_BYTES;
+}
+
 const char *upconn_read_some(h2o_socket_t *sock)
 {
+	const struct upconn_pool *pool = ((struct upconn_conn *)sock->data)->pool;
+	size_t limit = read_limit(pool);
 	size_t total = 0;
 	size_t max;
 	ssize_t n;
@@ -390,7 +399,7 @@
 	do {
 		h2o_iovec_t space = h2o_buffer_reserve(&sock->input, MIN_READ_BYTES);
 
-		max = space.len < MAX_READ_BYTES - total ? space.len : MAX_READ_BYTES - total;
+		max = space.len < limit - total ? space.len : limit - total;
 		if (MUTANT(upconn_read_all))
 			max = space.len;
 		do
@@ -405,7 +414,7 @@
 			sock->input->size += (size_t)n;
 			total += (size_t)n;
 		}
-	} while (n == (ssize_t)max && (total < MAX_READ_BYTES || MUTANT(upconn_read_all)));
+	} while (n == (ssize_t)max && (total < limit || MUTANT(upconn_read_all)));
 	return NULL;
 }
 
--- a/src/connection/upconn_memory.c
+++ b/src/connection/upconn_memory.c
@@ -67,8 +67,11 @@
 size_t upconn_max_answer(const struct upconn_call *call)
 {
 	bool suspect = clk_now() < call->pool->suspect_until && !MUTANT(answers_unlimited);
+	size_t max = call->pool->max_body;
 
-	return suspect && has_unknown_length(call) ? SUSPECT_ANSWER_BYTES : UPCONN_MAX_ANSWER_BYTES;
+	return suspect && has_unknown_length(call) && max > SUSPECT_ANSWER_BYTES
+		       ? SUSPECT_ANSWER_BYTES
+		       : max;
 }
 
 void upconn_suspect(struct upconn_call *call)
--- a/src/connection/upconn_priv.h
+++ b/src/connection/upconn_priv.h
@@ -38,6 +38,8 @@
 	char host[INET_ADDRSTRLEN + 8]; /* "ip:port", the default host header */
 	struct upconn_options opts;
 	const char *id_header;
+	size_t max_head; /* bytes of the head of a response */
+	size_t max_body; /* bytes of its body */
 	size_t n_idle;
 	clk_ms connect_failed_at; /* see upconn_connect_failed_at() */
 	clk_ms conn_lost_at;	  /* see upconn_conn_lost_at() */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -103,6 +103,7 @@
 		.meta = g->meta,
 		.watch = g->watch,
 		.fleet = g->fleet,
+		.answers = &g->answers,
 		.hold_max = g->settings.hold_max,
 		.address_reuse = g->settings.address_reuse,
 		.row_bytes = g->settings.row_bytes,
@@ -535,7 +536,8 @@
 	g->crashes = quarantine_create(CRASH_WINDOW_MS);
 	env = forward_env(g);
 	g->forwards = forward_list_create(&env);
-	g->meta = g->platform->store->open(g->loop, g->settings.store.ip, g->settings.store.port);
+	g->meta = g->platform->store->open(g->loop, g->settings.store.ip, g->settings.store.port,
+					   &g->answers);
 	g->watch = watch_create(g->loop, g->platform->store, g->meta, &watch_handlers, g);
 	/* Passive until gateway_choose_readers() knows whether this gateway is a hub. */
 	watch_set_passive(g->watch, true);
--- a/src/process/meta.h
+++ b/src/process/meta.h
@@ -20,6 +20,7 @@
 
 #include "base/clk.h"
 #include "base/str.h"
+#include "connection/answer_memory.h"
 
 enum meta_table {
 	META_CONFIG,	/* written by operators: configuration, evacuated failure domains */
@@ -96,7 +97,9 @@
 struct meta;
 
 struct meta_driver {
-	struct meta *(*open)(h2o_loop_t *loop, const char *ip, uint32_t port);
+	/* `answers` counts and limits the answers of the store; outlives the connection. */
+	struct meta *(*open)(h2o_loop_t *loop, const char *ip, uint32_t port,
+			     struct answer_memory *answers);
 	/* Closes the connection; calls in progress end without a callback. */
 	void (*close)(struct meta *m);
 	/* Reads all rows of a table. */
--- a/src/process/shardmgr.h
+++ b/src/process/shardmgr.h
@@ -38,7 +38,8 @@
 	struct meta *meta;
 	struct watch *watch;
 	struct fleet *fleet;
-	clk_ms hold_max; /* longest key lease that may be granted */
+	struct answer_memory *answers; /* limits the answers being read */
+	clk_ms hold_max;	       /* longest key lease that may be granted */
 	/* No upstream gets the address of another one earlier than this after the other's end. */
 	clk_ms address_reuse;
 	size_t row_bytes; /* longest value of a row of the store, counted in base64 */
--- a/src/process/shardmgr_lease.c
+++ b/src/process/shardmgr_lease.c
@@ -26,6 +26,8 @@
 #define MAX_CLOCK_DRIFT 0.025
 #define LEASE_MARGIN_MS 100
 #define GRANT_TIMEOUT_MS 600
+/* Answers to grants, releases and health checks have few headers and hardly any body. */
+#define MAX_ANSWER_BYTES (16u * 1024)
 /* An upstream answers a release after the requests that use the keys have ended. */
 #define RELEASE_TIMEOUT_MS 2500
 /* Pause after a failed grant or release. */
@@ -125,6 +127,8 @@
 		.max_idle = 1,
 		.connect_timeout = SHARDMGR_CONNECT_TIMEOUT_MS,
 		.dead_peer_timeout = 2000,
+		.max_answer = MAX_ANSWER_BYTES,
+		.memory = mgr->env.answers,
 		/* A grant that a network partition delays must not arrive after its timeout. */
 		.abort_on_close = true,
 	};
--- a/test/scripts/endless_server.py
+++ b/test/scripts/endless_server.py
@@ -1,8 +1,9 @@
 """Upstreams whose answers do not end, one listening port for each mode; serves until its input ends.
 
 Usage: endless_server.py IP MODE...; prints "MODE PORT" for each. Answers echo the request id. The
-mode "large" is a healthy upstream with answers of 24 MiB. After "bytes" on standard input the
-program prints the number of bytes written by each mode.
+mode "large" is a healthy upstream with answers of 24 MiB. Modes that begin with "keyed" take grants
+and requests, with empty answers; those that begin with "keyed-bad" only until "endless" is read from
+standard input. After "bytes" there, the program prints the number of bytes written by each mode.
 """
 import socket
 import sys
@@ -15,6 +16,7 @@
 CHUNK = b"10000\r\n" + BLOCK + b"\r\n"
 HEAD = b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\nx-attempt-id: %s\r\n"
 written = {}
+endless = threading.Event()
 
 
 def request_id(sock):
@@ -33,7 +35,10 @@
 
 
 def blocks(mode, head):
-    """Yields the bytes of an answer; all modes but "large" never end."""
+    """Yields the bytes of an answer; all modes but "large" and sound keyed ones never end."""
+    if mode.startswith("keyed") and not (mode.startswith("keyed-bad") and endless.is_set()):
+        yield head + b"x-instance-id: u-%s\r\ncontent-length: 0\r\n\r\n" % mode.encode()
+        return
     if mode == "head":
         yield head
         while True:
@@ -55,7 +60,7 @@
             time.sleep(0.05)
             yield b"1\r\nx\r\n"
         else:
-            yield CHUNK if mode == "chunked" else BLOCK
+            yield BLOCK if mode in ("close", "length") else CHUNK
 
 
 def serve(mode, sock):
@@ -84,5 +89,7 @@
     threading.Thread(target=accept, args=(name, port), daemon=True).start()
     print(name, port.getsockname()[1], flush=True)
 for line in sys.stdin:
+    if line.strip() == "endless":
+        endless.set()
     if line.strip() == "bytes":
         print("written", *(f"{mode}={count}" for mode, count in written.items()), flush=True)
--- a/test/unit_platstore.c
+++ b/test/unit_platstore.c
@@ -64,7 +64,7 @@
 	port = unit_free_port(IP);
 	f->server = ingress_create(f->loop, IP, port, &handlers, f, &err);
 	ck_assert_msg(f->server != NULL, "%s", err.msg);
-	f->meta = plat_store.open(f->loop, IP, port);
+	f->meta = plat_store.open(f->loop, IP, port, NULL);
 }
 
 static void teardown(struct fixture *f)
@@ -403,11 +403,77 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"era_trust_first",     "era_use_past",  "store_odd_row_fails",
-				      "store_log_each_read", "era_trust_any", NULL};
+static const char *const mutants[] = {"era_trust_first",
+				      "era_use_past",
+				      "store_odd_row_fails",
+				      "answers_unlimited",
+				      "store_log_each_read",
+				      "era_trust_any",
+				      NULL};
+
+/* ---- answers without end ----------------------------------------------------------------------
+ */
+
+#define ENDLESS_BYTES (20u * 1024 * 1024)
+#define MEMORY_BYTES (2u * 1024 * 1024)
+
+struct endless {
+	struct unit_server server;
+	struct answer_memory memory;
+	struct fixture f;
+	size_t most; /* highest number of bytes taken at once */
+	char *bytes;
+};
+
+static void on_endless_request(struct unit_conn *c, struct str request, void *data)
+{
+	struct endless *e = data;
+
+	unit_reply(c, (struct str){e->bytes, ENDLESS_BYTES});
+}
+
+static bool is_ended(void *data)
+{
+	struct endless *e = data;
+
+	if (e->memory.used > e->most)
+		e->most = e->memory.used;
+	return e->f.answered;
+}
+
+/* Guards against a store whose answer has no end and takes all memory of the process. */
+START_TEST(endless_answer_takes_no_more_than_its_share)
+{
+	static const char head[] =
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffff\r\n";
+	static struct endless e;
+
+	memset(&e, 0, sizeof(e));
+	e.memory.limit = MEMORY_BYTES;
+	e.bytes = malloc(ENDLESS_BYTES);
+	memset(e.bytes, 'x', ENDLESS_BYTES);
+	memcpy(e.bytes, head, sizeof(head) - 1);
+	e.f.loop = h2o_evloop_create();
+	e.server.on_request = on_endless_request;
+	e.server.data = &e;
+	unit_server_start(&e.server, e.f.loop, IP);
+	e.f.meta = plat_store.open(e.f.loop, IP, e.server.port, &e.memory);
+	plat_store.read(e.f.meta, META_KEYS, on_answer, &e.f);
+	ck_assert(unit_run_until(e.f.loop, is_ended, &e));
+	ck_assert_int_eq(e.f.result, META_REFUSED);
+	ck_assert_uint_gt(e.most, 0);
+	ck_assert_uint_le(e.most, MEMORY_BYTES);
+	ck_assert_uint_eq(e.memory.used, 0);
+	plat_store.close(e.f.meta);
+	unit_server_stop(&e.server);
+	timer_destroy_loop(e.f.loop);
+	free(e.bytes);
+}
+END_TEST
 
 static void add_tests(TCase *tc)
 {
+	tcase_add_test(tc, endless_answer_takes_no_more_than_its_share);
 	tcase_add_test(tc, unexpected_answers_to_a_commit_prove_nothing);
 	tcase_add_test(tc, malformed_answers_are_refused);
 	tcase_add_test(tc, versions_grow_over_a_restore);
--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -139,6 +139,13 @@
 	return o;
 }
 
+/* Replaces the fixture's pool by one with these options. */
+static void replace_pool(struct fixture *f, const struct upconn_options *opts)
+{
+	upconn_pool_destroy(f->pool);
+	f->pool = upconn_pool_create_with(f->loop, IP, f->server.port, opts);
+}
+
 static bool has_accepted(void *data)
 {
 	struct fixture *f = data;
@@ -763,6 +770,54 @@
 }
 END_TEST
 
+#define SMALL_ANSWER_BYTES 4096
+#define ENDLESS_PART_BYTES (1024 * 1024)
+
+/*
+ * Guards against memory exhaustion by a server of which only small responses are expected: many
+ * calls at a time would each take a head or body up to the general limits.
+ */
+START_TEST(answers_over_the_limit_of_their_pool_are_ended)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nx-long: ",
+		"HTTP/1.1 200 OK\r\ncontent-length: 4097\r\n\r\n",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffff\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n",
+	};
+	struct upconn_options opts = {
+		.max_idle = 4, .allow_close_delimited = true, .max_answer = SMALL_ANSWER_BYTES};
+	char *part = malloc(ENDLESS_PART_BYTES);
+	struct upconn_request req = get("/");
+	struct outcome o = {0};
+	struct fixture f;
+
+	setup(&f);
+	replace_pool(&f, &opts);
+	for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+		memset(part, 'x', ENDLESS_PART_BYTES);
+		memcpy(part, heads[i], strlen(heads[i]));
+		f.script.answers[i] = (struct str){part, ENDLESS_PART_BYTES};
+		make_call(&f, &req, &o);
+		ck_assert_msg(o.result == UPCONN_TOO_LARGE, "%s: %s", heads[i],
+			      upconn_result_name(o.result));
+	}
+	/* The largest response that is allowed. */
+	memset(part, 'x', ENDLESS_PART_BYTES);
+	f.script.answers[4].len =
+		(size_t)sprintf(part, "HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n",
+				SMALL_ANSWER_BYTES) +
+		SMALL_ANSWER_BYTES;
+	f.script.answers[4].ptr = part;
+	make_call(&f, &req, &o);
+	ck_assert_int_eq(o.result, UPCONN_OK);
+	ck_assert_uint_eq(o.body_len, SMALL_ANSWER_BYTES);
+	free(part);
+	free(o.body);
+	teardown(&f);
+}
+END_TEST
+
 /* Guards against bodies that are cut at the size of a buffer. */
 START_TEST(large_bodies_arrive_complete)
 {
@@ -981,13 +1036,6 @@
 }
 END_TEST
 
-/* Replaces the fixture's pool by one with these options. */
-static void replace_pool(struct fixture *f, const struct upconn_options *opts)
-{
-	upconn_pool_destroy(f->pool);
-	f->pool = upconn_pool_create_with(f->loop, IP, f->server.port, opts);
-}
-
 /* Checks the result and body of one request answered with `answer`. `body` NULL: any body. */
 static void check_answer(const struct upconn_options *opts, struct str request_id,
 			 struct str answer, bool close_after, enum upconn_result result,
@@ -1196,20 +1244,11 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"upconn_accept_other_id",
-	"upconn_reuse_unread",
-	"upconn_keep_after_timeout",
-	"upconn_accept_truncated",
-	"upconn_skip_may_send",
-	"upconn_reset_keeps_idle",
-	"upconn_close_in_order",
-	"answers_unlimited",
-	"upconn_read_all",
-	"upconn_drop_read_error",
-	"upconn_trust_end",
-	"upconn_any_status",
-	"blocks_copy",
-	NULL,
+	"upconn_accept_other_id",  "upconn_reuse_unread",  "upconn_keep_after_timeout",
+	"upconn_accept_truncated", "upconn_skip_may_send", "upconn_reset_keeps_idle",
+	"upconn_close_in_order",   "answers_unlimited",	   "upconn_read_all",
+	"upconn_drop_read_error",  "upconn_trust_end",	   "upconn_any_status",
+	"upconn_any_size",	   "blocks_copy",	   NULL,
 };
 
 /*
@@ -1551,6 +1590,7 @@
 	tcase_add_test(tc, status_code_outside_its_range_is_refused);
 	tcase_add_test(tc, answers_without_a_body);
 	tcase_add_test(tc, answer_size_is_limited);
+	tcase_add_test(tc, answers_over_the_limit_of_their_pool_are_ended);
 	tcase_add_test(tc, large_bodies_arrive_complete);
 	tcase_add_test(tc, early_answer_prevents_reuse);
 	tcase_add_test(tc, cancel_closes_without_a_callback);
