--- a/test/scripts/latecopy_server.py
+++ b/test/scripts/latecopy_server.py
@@ -1,9 +1,9 @@
-"""Upstream of a keyed service that sends a second copy of an answer late, on a connection in use again.
+"""Upstream "u1" of a keyed service that sends a second copy of an answer late, on a connection in use again.
 
-Usage: latecopy_server.py IP; prints its port and serves until its input ends. Accepts every grant. Answers
-the first request with each path as not run (421); a request with that path that follows on the same
-connection gets a copy of that answer first, and then is run and answered. After "runs" on standard input
-the program prints the number of requests that it ran.
+Usage: latecopy_server.py IP; prints its port and serves until its input ends. Accepts every grant, and names
+itself in answers to health checks. Answers the first request with each path as not run (421); a request with
+that path that follows on the same connection gets a copy of that answer first, and then is run and answered.
+After "runs" on standard input the program prints the number of requests that it ran.
 """
 import socket
 import sys
@@ -12,6 +12,7 @@
 NOT_RUN = b"HTTP/1.1 421 Misdirected Request\r\nx-attempt-id: %s\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
 RUN = b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-response-seal: s\r\ncontent-length: 3\r\n\r\nran"
 GRANTED = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+HEALTHY = b"HTTP/1.1 200 OK\r\nx-instance-id: u1\r\ncontent-length: 2\r\n\r\nok"
 seen = set()
 runs = 0
 
@@ -42,7 +43,7 @@
             if path is None:
                 break
             if not path.startswith(b"/order/"):
-                sock.sendall(GRANTED)
+                sock.sendall(HEALTHY if path == b"/health" else GRANTED)
                 continue
             if path not in seen:
                 seen.add(path)
