--- a/src/process/shardmgr_priv.h
+++ b/src/process/shardmgr_priv.h
@@ -272,7 +272,7 @@
  * come soon.
  */
 bool shardmgr_is_identified(struct key_holder *h, clk_ms now);
-/* Records that the upstream answered a grant that was sent at `sent`. */
+/* Records that the upstream answered a grant, or named its id, when asked at `sent`. */
 void shardmgr_note_identified(struct key_holder *h, clk_ms sent);
 /*
  * Sends the health checks that are due to failing upstreams. A failing upstream that was restarted
