queue: the objective counts from a caller's first attempt; late ones last; no standing queue

Cause: a refused caller came back as a new one with a fresh target, so the queue filled with callers who were late already; and it stood at the longest wait that the objective permits, with half of the services taking longer than what was left then.

Now the admission controller knows who comes back (fingerprint and deadline), serves timely requests before late ones within a priority, refuses a late one at once if timely ones use all slots, and keeps a queue shorter that has not been empty for a second.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -9,6 +9,9 @@
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_JITTER_MS 150
 
+/* Wait up to which later arrivals are left out of the estimate, as a share of the service time. */
+#define SHORT_WAIT_SHARE 0.5
+
 /* A service whose cold upstreams may get nothing has no next token. */
 #define MAX_TOKEN_WAIT_MS 10000.0
 
@@ -55,6 +58,7 @@
 	a->next_slot = rnd_u64(&a->rnd) | 1;
 	a->service_ms = (double)opts->initial_service_time;
 	a->refusals_end = &a->refusals;
+	a->returns = returns_create();
 	return a;
 }
 
@@ -65,18 +69,11 @@
 
 /* ---- queues --------------------------------------------------------------------------------- */
 
-static bool has_precedence(const struct waiting *x, const struct waiting *y)
-{
-	if (x->request.priority != y->request.priority)
-		return x->request.priority < y->request.priority;
-	return x->seq < y->seq;
-}
-
 static void queue_push(struct queue *q, struct waiting *w)
 {
 	struct waiting *after = q->tail;
 
-	while (after && has_precedence(w, after))
+	while (after && order_precedes(&w->rank, &after->rank))
 		after = after->prev;
 	w->prev = after;
 	w->next = after ? after->next : q->head;
@@ -125,31 +122,45 @@
 	return w;
 }
 
-static void refuse(struct admit *a, const struct admit_request *request, enum admit_refusal reason,
+/* A request and what follows from it and from its caller's earlier attempts. */
+struct arrival {
+	struct admit_request request; /* its target counts from the caller's first attempt */
+	struct order_rank rank;
+	clk_ms elapsed;
+};
+
+static void refuse(struct admit *a, clk_ms now, const struct arrival *r, enum admit_refusal reason,
 		   clk_ms retry_after, clk_ms waited, uint32_t ahead)
 {
-	struct refusal *r = calloc(1, sizeof(*r));
+	struct refusal *refusal = calloc(1, sizeof(*refusal));
 
-	if (!r)
+	if (!refusal)
 		abort();
+	if (r->request.fingerprint)
+		returns_note_refusal(a->returns, now, r->request.fingerprint,
+				     r->request.caller_deadline, r->request.target);
 	if (retry_after < RETRY_AFTER_MIN_MS)
 		retry_after = RETRY_AFTER_MIN_MS;
-	r->decision = (struct admit_decision){
-		.node = request->node,
-		.request = request->id,
+	refusal->decision = (struct admit_decision){
+		.node = r->request.node,
+		.request = r->request.id,
 		.reason = reason,
 		.retry_after = retry_after + (clk_ms)rnd_below(&a->rnd, RETRY_AFTER_JITTER_MS),
 		.waited = waited,
 		.ahead = ahead,
+		.elapsed = r->elapsed,
+		.late = r->rank.late,
 	};
-	*a->refusals_end = r;
-	a->refusals_end = &r->next;
+	*a->refusals_end = refusal;
+	a->refusals_end = &refusal->next;
 }
 
 static void waiting_refuse(struct admit *a, clk_ms now, struct waiting *w,
 			   enum admit_refusal reason, clk_ms retry_after)
 {
-	refuse(a, &w->request, reason, retry_after, now - w->arrived, 0);
+	struct arrival r = {w->request, w->rank, w->elapsed};
+
+	refuse(a, now, &r, reason, retry_after, now - w->arrived, 0);
 	waiting_remove(a, w);
 }
 
@@ -251,15 +262,31 @@
 }
 
 /* Returns the number of requests in the queue that are served before a new one. */
-static uint32_t count_ahead(const struct queue *q, uint32_t priority)
+static uint32_t count_ahead(const struct queue *q, const struct order_rank *rank)
 {
 	uint32_t n = 0;
 
-	for (const struct waiting *w = q->head; w && w->request.priority <= priority; w = w->next)
+	for (const struct waiting *w = q->head; w && !order_precedes(rank, &w->rank); w = w->next)
 		n++;
 	return n;
 }
 
+/*
+ * Returns the expected wait of a request with `ahead` others before it. A late one also waits for
+ * timely requests that have not arrived yet, unless the wait is short.
+ */
+static clk_ms wait_of(const struct admit *a, const struct queue *q, const struct upstream *only,
+		      clk_ms now, uint32_t ahead, bool late)
+{
+	clk_ms wait = admit_wait_behind(a, only, now, ahead);
+	double per_second;
+
+	if (!late || (double)wait <= admit_mean_service(a, only) * SHORT_WAIT_SHARE)
+		return wait;
+	per_second = admit_slots(a, only, now) * 1000.0 / admit_mean_service(a, only);
+	return room_late_wait(&q->room, now, wait, per_second);
+}
+
 static bool has_usable_upstream(const struct admit *a)
 {
 	const struct upstream *u;
@@ -271,16 +298,17 @@
 	return false;
 }
 
-static void add_waiting_request(struct admit *a, clk_ms now, const struct admit_request *request,
+static void add_waiting_request(struct admit *a, clk_ms now, const struct arrival *r,
 				struct queue *q, clk_ms budget)
 {
 	struct waiting *w = calloc(1, sizeof(*w));
 
 	if (!w)
 		abort();
-	w->id = (struct waiting_id){request->node, request->id};
-	w->request = *request;
-	w->seq = a->next_seq++;
+	w->id = (struct waiting_id){r->request.node, r->request.id};
+	w->request = r->request;
+	w->rank = r->rank;
+	w->elapsed = r->elapsed;
 	w->arrived = now;
 	w->grant_by = now + (budget > 0 ? budget : 0);
 	HASH_ADD(hh, a->waiting, id, sizeof(w->id), w);
@@ -294,11 +322,12 @@
 static bool refuse_last(struct admit *a, clk_ms now, struct queue *q, const struct upstream *only)
 {
 	struct waiting *last = q->tail;
-	clk_ms wait = admit_wait_behind(a, only, now, q->len - 1);
+	clk_ms wait = wait_of(a, q, only, now, q->len - 1, last->rank.late);
 
-	if (now + wait <= last->grant_by)
+	if (wait <= last->grant_by - now)
 		return false;
-	waiting_refuse(a, now, last, ADMIT_REFUSE_FULL, wait);
+	waiting_refuse(a, now, last, ADMIT_REFUSE_FULL,
+		       admit_wait_behind(a, only, now, q->len - 1));
 	return true;
 }
 
@@ -329,37 +358,88 @@
 		;
 }
 
+/* Returns the time after which a refused request is likely to find room. */
+static clk_ms refusal_wait(const struct admit *a, const struct upstream *only, clk_ms now,
+			   uint32_t ahead, bool late, clk_ms budget)
+{
+	clk_ms wait = admit_wait_behind(a, only, now, ahead);
+
+	if (late)
+		return wait - (clk_ms)(admit_mean_service(a, only) * SHORT_WAIT_SHARE);
+	return wait - budget;
+}
+
+/* Counts the target from the caller's first attempt and ranks the request by what is left. */
+static struct arrival rank_arrival(struct admit *a, clk_ms now, const struct admit_request *request,
+				   const struct upstream *only)
+{
+	struct arrival r = {.request = *request};
+	struct returns_caller caller;
+
+	if (request->fingerprint &&
+	    returns_find(a->returns, request->fingerprint, request->caller_deadline, &caller)) {
+		r.request.target = caller.target;
+		r.elapsed = now - caller.first;
+	}
+	r.rank = (struct order_rank){
+		.priority = request->priority,
+		.late = admit_is_late(a, only, now, &r.request),
+		.seq = a->next_seq++,
+	};
+	return r;
+}
+
+/*
+ * Returns the longest expected wait with which a request is admitted; `budget` is the longest wait
+ * after which its answer is likely to arrive in time.
+ */
+static clk_ms longest_wait(const struct admit *a, clk_ms now, struct queue *q,
+			   const struct upstream *only, bool late, clk_ms budget)
+{
+	if (admit_wait_behind(a, only, now, q->len) <= 0)
+		backlog_note_free(&q->backlog, now);
+	else if (!late && backlog_is_lasting(&q->backlog, now))
+		return backlog_budget(budget, admit_mean_service(a, only),
+				      admit_slots(a, only, now));
+	return budget;
+}
+
 void admit_request(struct admit *a, clk_ms now, const struct admit_request *request)
 {
 	struct upstream *only;
 	struct queue *q = queue_of(a, request, &only);
+	struct arrival r;
 	uint32_t ahead;
+	clk_ms longest;
 	clk_ms budget;
-	clk_ms wait;
 
 	if (waiting_find(a, request->node, request->id))
 		return;
+	r = rank_arrival(a, now, request, only);
 	if (!has_usable_upstream(a)) {
-		refuse(a, request, ADMIT_REFUSE_NO_UPSTREAM, ADMIT_OWNER_WAIT_MS, 0, 0);
+		refuse(a, now, &r, ADMIT_REFUSE_NO_UPSTREAM, ADMIT_OWNER_WAIT_MS, 0, 0);
 		return;
 	}
-	budget = admit_wait_budget(a, only, now, request);
+	budget = admit_wait_budget(a, only, now, &r.request);
 	if (q == &a->ownerless) {
-		add_waiting_request(a, now, request, q,
+		add_waiting_request(a, now, &r, q,
 				    budget < ADMIT_OWNER_WAIT_MS ? budget : ADMIT_OWNER_WAIT_MS);
 		return;
 	}
 	if (only && admit_is_barred(a, only, now, request)) {
-		refuse(a, request, ADMIT_REFUSE_FULL, ADMIT_OWNER_WAIT_MS, 0, 0);
+		refuse(a, now, &r, ADMIT_REFUSE_FULL, ADMIT_OWNER_WAIT_MS, 0, 0);
 		return;
 	}
-	ahead = count_ahead(q, request->priority);
-	wait = admit_wait_behind(a, only, now, ahead);
-	if (wait > budget) {
-		refuse(a, request, ADMIT_REFUSE_FULL, wait - budget, 0, ahead);
+	ahead = count_ahead(q, &r.rank);
+	longest = longest_wait(a, now, q, only, r.rank.late, budget);
+	if (wait_of(a, q, only, now, ahead, r.rank.late) > longest) {
+		refuse(a, now, &r, ADMIT_REFUSE_FULL,
+		       refusal_wait(a, only, now, ahead, r.rank.late, longest), 0, ahead);
 		return;
 	}
-	add_waiting_request(a, now, request, q, budget);
+	if (!r.rank.late)
+		room_note(&q->room, now);
+	add_waiting_request(a, now, &r, q, budget);
 	refuse_displaced(a, now, q, only);
 }
 
@@ -414,6 +494,8 @@
 		.slot = s->id,
 		.upstream = u->num,
 		.waited = now - w->arrived,
+		.elapsed = w->elapsed,
+		.late = w->rank.late,
 	};
 	waiting_remove(a, w);
 }
@@ -669,5 +751,6 @@
 	}
 	while (pop_refusal(a, &ignored))
 		;
+	returns_destroy(a->returns);
 	free(a);
 }
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -10,6 +10,9 @@
  * - slow upstreams and noisy neighbours: a request is assigned to an upstream only when a slot is
  *   free, and to the upstream with the shortest expected service time, from measured service times
  *   and the last reported slowness;
+ * - callers that come back after a refusal: their latency objective counts from their first
+ *   attempt; those that can still be answered in time go before those that cannot (see
+ *   queue/order.h, queue/returns.h);
  * - one hot key: requests for a key whose owner is full wait in the queue of that owner only;
  * - upstreams that hang when full: an upstream never gets more requests than it has slots;
  * - cold upstreams, and upstreams that name a limit: one admission controller limits their request
@@ -44,14 +47,16 @@
 };
 
 struct admit_request {
-	uint64_t node;	   /* gateway that requests the slot */
-	uint64_t id;	   /* unique within the node */
-	uint32_t key;	   /* only for keyed services */
-	uint32_t priority; /* 0 is the highest */
-	clk_ms deadline;   /* the caller has no use for an answer after this time */
-	clk_ms target;	   /* time by which the latency objective wants the answer */
-	uint32_t place;	   /* hash of the failure domain of the requesting gateway */
-	bool heavy;	   /* large body: strongly prefer an upstream in the same failure domain */
+	uint64_t node;		/* gateway that requests the slot */
+	uint64_t id;		/* unique within the node */
+	uint32_t key;		/* only for keyed services */
+	uint32_t priority;	/* 0 is the highest */
+	clk_ms deadline;	/* the caller has no use for an answer after this time */
+	clk_ms target;		/* time by which the latency objective wants the answer */
+	uint32_t place;		/* hash of the failure domain of the requesting gateway */
+	uint64_t fingerprint;	/* equal for all attempts of a caller, 0: unknown */
+	clk_ms caller_deadline; /* until when the caller waits, over all its attempts */
+	bool heavy; /* large body: strongly prefer an upstream in the same failure domain */
 	/* Choose no cold or limited upstream: another gateway limits their rate. */
 	bool unlimited_only;
 	uint64_t avoid[ADMIT_MAX_AVOID]; /* upstreams that failed this request; unused: 0 */
@@ -102,6 +107,8 @@
 	clk_ms retry_after;	   /* if refused: time after which a slot is likely to be free */
 	clk_ms waited;
 	uint32_t ahead; /* if refused on arrival: requests that were ahead in the queue */
+	clk_ms elapsed; /* time since the caller's first attempt that was refused, 0 if none was */
+	bool late;	/* the target could not be met on arrival */
 };
 
 /* Returns the upstream that owns the key, 0 while the key has no usable owner. */
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -235,23 +235,35 @@
 	return c.resumes - now + (clk_ms)(ahead * service / c.paused);
 }
 
+double admit_slots(const struct admit *a, const struct upstream *only, clk_ms now)
+{
+	return count_capacity(a, only, now).slots;
+}
+
+/* Returns the longest wait after which the answer is likely to arrive by the target. */
+static clk_ms budget_by_target(const struct admit *a, const struct upstream *only, clk_ms now,
+			       const struct admit_request *request)
+{
+	return request->target - now -
+	       (clk_ms)(admit_mean_service(a, only) * TARGET_RESERVE_FACTOR);
+}
+
+bool admit_is_late(const struct admit *a, const struct upstream *only, clk_ms now,
+		   const struct admit_request *request)
+{
+	return budget_by_target(a, only, now, request) <= 0;
+}
+
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
 			 const struct admit_request *request)
 {
-	clk_ms by_target = request->target - now -
-			   (clk_ms)(admit_mean_service(a, only) * TARGET_RESERVE_FACTOR);
+	clk_ms by_target = budget_by_target(a, only, now, request);
 	clk_ms by_deadline =
 		request->deadline - now - (clk_ms)(admit_mean_service(a, only) * MIN_SERVICE_SHARE);
 
 	if (MUTANT(admit_no_refusal))
 		return request->deadline - now;
-	/*
-	 * A retried request may have missed the objective already. It may then wait for half a
-	 * service time if the deadline permits.
-	 */
-	if (by_target <= 0)
-		by_target = (clk_ms)(admit_mean_service(a, only) / 2);
-	return by_target < by_deadline ? by_target : by_deadline;
+	return by_target > 0 && by_target < by_deadline ? by_target : by_deadline;
 }
 
 void admit_pause(struct upstream *u, clk_ms now)
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -7,6 +7,10 @@
 
 #include "base/hash.h"
 #include "process/admit.h"
+#include "queue/backlog.h"
+#include "queue/order.h"
+#include "queue/returns.h"
+#include "queue/room.h"
 
 /* Slowness of an upstream before its first load report, in per cent of the usual service time. */
 #define ADMIT_USUAL_SLOWNESS 100.0
@@ -26,7 +30,8 @@
 struct waiting {
 	struct waiting_id id;
 	struct admit_request request;
-	uint64_t seq; /* rises with each request; orders requests of equal priority */
+	struct order_rank rank;
+	clk_ms elapsed; /* see admit_decision.elapsed */
 	clk_ms arrived;
 	clk_ms grant_by; /* refused if no slot is granted by this time */
 	struct queue *queue;
@@ -35,11 +40,13 @@
 	UT_hash_handle hh;
 };
 
-/* Waiting requests, sorted by priority, then by arrival. */
+/* Waiting requests, sorted by order_precedes(). */
 struct queue {
 	struct waiting *head;
 	struct waiting *tail;
 	uint32_t len;
+	struct backlog backlog;
+	struct room room; /* what timely requests leave to late ones */
 };
 
 /* Granted slot. */
@@ -91,6 +98,7 @@
 	struct waiting *waiting;
 	struct queue common;	/* requests of a service that is not keyed, for any upstream */
 	struct queue ownerless; /* requests for keys that have no owner */
+	struct returns *returns;
 	struct refusal *refusals;
 	struct refusal **refusals_end;
 };
@@ -123,7 +131,15 @@
  */
 clk_ms admit_wait_behind(const struct admit *a, const struct upstream *only, clk_ms now,
 			 uint32_t ahead);
-/* Returns the longest wait after which the answer is still likely to arrive in time. */
+/* Returns the slots of the upstream, or of all if NULL, as far as their rate allows their use. */
+double admit_slots(const struct admit *a, const struct upstream *only, clk_ms now);
+/* Whether an answer is not likely to arrive by the request's target even without a wait. */
+bool admit_is_late(const struct admit *a, const struct upstream *only, clk_ms now,
+		   const struct admit_request *request);
+/*
+ * Returns the longest wait after which the answer is still likely to arrive in time: by the target,
+ * or by the deadline if the request is late.
+ */
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
 			 const struct admit_request *request);
 /* Stops grants to the upstream for a while after a failure. */
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -190,6 +190,8 @@
 	msg.retry_after_ms = (uint32_t)d->retry_after;
 	msg.waited_ms = (uint32_t)d->waited;
 	msg.ahead = d->ahead;
+	msg.elapsed_ms = (uint32_t)d->elapsed;
+	msg.late = d->late;
 	msg.pool = d->granted ? p->id : 0;
 	msg.knows_none = !d->granted && d->reason == ADMIT_REFUSE_NO_UPSTREAM && !p->known;
 	frame.body_case = BC__FRAME__BODY_SLOT_REPLY;
@@ -258,6 +260,9 @@
 	msg.deadline_ms =
 		(uint32_t)(a->slot_request.deadline > now ? a->slot_request.deadline - now : 0);
 	msg.target_ms = (uint32_t)(a->slot_request.target > now ? a->slot_request.target - now : 0);
+	msg.fingerprint = a->slot_request.fingerprint;
+	if (a->slot_request.caller_deadline > now)
+		msg.caller_ms = (uint32_t)(a->slot_request.caller_deadline - now);
 	msg.heavy = a->slot_request.heavy;
 	msg.place = a->slot_request.place;
 	msg.avoid = avoid;
@@ -401,6 +406,8 @@
 		.priority = msg->priority,
 		.deadline = now + msg->deadline_ms,
 		.target = now + msg->target_ms,
+		.fingerprint = msg->fingerprint,
+		.caller_deadline = now + msg->caller_ms,
 		.heavy = msg->heavy,
 		.place = msg->place,
 	};
@@ -458,6 +465,8 @@
 		.retry_after = msg->retry_after_ms,
 		.waited = msg->waited_ms,
 		.ahead = msg->ahead,
+		.elapsed = msg->elapsed_ms,
+		.late = msg->late,
 	};
 
 	if (a && a->controller == from && !a->acked)
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5354,7 +5354,7 @@
   (ProtobufCMessageInit) bc__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[11] =
 {
   {
     "id",
@@ -5464,10 +5464,36 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, caller_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__slot_ask__field_indices_by_name[] = {
   8,   /* field[8] = avoid */
+  10,   /* field[10] = caller_ms */
   4,   /* field[4] = deadline_ms */
+  9,   /* field[9] = fingerprint */
   6,   /* field[6] = heavy */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
@@ -5476,10 +5502,11 @@
   3,   /* field[3] = priority */
   5,   /* field[5] = target_ms */
 };
-static const ProtobufCIntRange bc__slot_ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange bc__slot_ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 20, 9 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bc__slot_ask__descriptor =
 {
@@ -5489,14 +5516,14 @@
   "Bc__SlotAsk",
   "bc",
   sizeof(Bc__SlotAsk),
-  9,
+  11,
   bc__slot_ask__field_descriptors,
   bc__slot_ask__field_indices_by_name,
-  1,  bc__slot_ask__number_ranges,
+  2,  bc__slot_ask__number_ranges,
   (ProtobufCMessageInit) bc__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bc__slot_reply__field_descriptors[13] =
 {
   {
     "id",
@@ -5630,12 +5657,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "elapsed_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotReply, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotReply, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__slot_reply__field_indices_by_name[] = {
   8,   /* field[8] = ahead */
+  11,   /* field[11] = elapsed_ms */
   1,   /* field[1] = granted */
   0,   /* field[0] = id */
   10,   /* field[10] = knows_none */
+  12,   /* field[12] = late */
   9,   /* field[9] = pool */
   2,   /* field[2] = queued */
   5,   /* field[5] = reason */
@@ -5647,7 +5700,7 @@
 static const ProtobufCIntRange bc__slot_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bc__slot_reply__descriptor =
 {
@@ -5657,7 +5710,7 @@
   "Bc__SlotReply",
   "bc",
   sizeof(Bc__SlotReply),
-  11,
+  13,
   bc__slot_reply__field_descriptors,
   bc__slot_reply__field_indices_by_name,
   1,  bc__slot_reply__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -703,10 +703,18 @@
    */
   size_t n_avoid;
   uint64_t *avoid;
+  /*
+   * of the request, equal for all attempts of its caller; 0: unknown
+   */
+  uint64_t fingerprint;
+  /*
+   * time that the caller still waits, over all its attempts
+   */
+  uint32_t caller_ms;
 };
 #define BC__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Bc__SlotReply
@@ -735,10 +743,18 @@
    * refused since the controller knows no upstream, usable or not
    */
   protobuf_c_boolean knows_none;
+  /*
+   * time since an earlier attempt of the caller was refused
+   */
+  uint32_t elapsed_ms;
+  /*
+   * the latency objective could not be met on arrival
+   */
+  protobuf_c_boolean late;
 };
 #define BC__SLOT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__slot_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bc__SlotCancel
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -27,6 +27,8 @@
 #define RETRY_MIN_LEFT_MS 150
 /* Most grants that a request may return unused because the upstream was just removed. */
 #define MAX_UNUSED_GRANTS 4
+/* Longest time that a caller may say it waits. */
+#define MAX_CALLER_TIME_MS (1u << 30)
 /* Retry-After when the time of recovery is unknown. */
 #define RETRY_AFTER_DEFAULT_MS 300
 /* Retry-After when a link has no room for large bodies, and a part that varies by request. */
@@ -49,6 +51,12 @@
     "Requests refused since all upstreams that may serve them want none from this gateway.");
 CTR(ctr_other_instance, "forward_other_instance_total",
     "Answers of another instance at the address of an upstream.");
+CTR(ctr_came_back, "forward_came_back_total",
+    "Slot requests whose caller had been refused before.");
+CTR(ctr_late_granted, "forward_late_granted_total",
+    "Slots granted to requests that could not be answered within the latency objective.");
+CTR(ctr_late_refused, "forward_late_refused_total",
+    "Refusals of requests that could not be answered within the latency objective.");
 HIST(hist_answered, "answer_ms", "Time from the whole request to the answer of an upstream.");
 HIST(hist_waited, "slot_wait_ms", "Time that a request waited for a slot.");
 HIST(hist_refused, "refusal_ms", "Time from the whole request to its refusal.");
@@ -72,6 +80,9 @@
 	uint32_t key;
 	uint64_t fingerprint;
 	clk_ms deadline;
+	clk_ms caller_deadline; /* when the caller ends its last attempt, 0 if it does not say */
+	clk_ms elapsed;		/* time since an earlier attempt of the caller was refused */
+	bool late;		/* its target could not be met when the slot was requested */
 	clk_ms sent_at;		/* when `call` was started */
 	clk_ms waited;		/* time waited for slots, over all attempts */
 	uint64_t controller;	/* gateway that decided the last slot request */
@@ -140,7 +151,8 @@
 	log_write(&log, LOG_INFO, f->request_id,
 		  "%s status=%d why=%s route=%.*s service=%.*s key=%u owner=%016llx upstream=%s "
 		  "sends=%u "
-		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld config=%llu",
+		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld "
+		  "elapsed_ms=%lld late=%d config=%llu",
 		  outcome, status, f->why ? f->why : "-", f->route ? (int)f->route->name.len : 1,
 		  f->route ? f->route->name.ptr : "-", f->service ? (int)f->service->name.len : 1,
 		  f->service ? f->service->name.ptr : "-", f->key,
@@ -148,6 +160,7 @@
 		  f->upstream ? f->upstream->id : f->last_upstream, f->sends,
 		  (unsigned long long)f->controller, f->ahead, (long long)f->waited,
 		  (long long)(now - f->req->arrived), (long long)(f->deadline - now),
+		  (long long)f->elapsed, f->late,
 		  f->topo ? (unsigned long long)f->topo->version : 0ULL);
 }
 
@@ -694,6 +707,12 @@
 	f->waited += d->waited;
 	f->controller = f->slot_request.controller;
 	f->ahead = d->ahead;
+	f->elapsed = d->elapsed;
+	f->late = d->late;
+	if (d->elapsed)
+		ctr_inc(&ctr_came_back);
+	if (d->late)
+		ctr_inc(permit ? &ctr_late_granted : &ctr_late_refused);
 	hist_add(&hist_waited, d->waited);
 	if (permit) {
 		on_permit(f, permit);
@@ -746,6 +765,8 @@
 	f->slot_request.slot_request.priority = f->route->priority;
 	f->slot_request.slot_request.deadline = f->deadline;
 	f->slot_request.slot_request.target = f->req->arrived + f->route->target;
+	f->slot_request.slot_request.fingerprint = f->caller_deadline ? f->fingerprint : 0;
+	f->slot_request.slot_request.caller_deadline = f->caller_deadline;
 	f->slot_request.slot_request.place = (uint32_t)str_hash(l->env.settings->failure_domain);
 	f->slot_request.slot_request.heavy = f->route->kind == TOPO_UPLOAD;
 	slots_request(l->env.slots, &f->slot_request, pool);
@@ -772,15 +793,19 @@
 	return f;
 }
 
-/* Returns the time that the caller still waits, `fallback` if the request does not state it. */
-static clk_ms caller_time(const struct forward *f, clk_ms fallback)
+/* Sets the deadlines by the time that the caller says it still waits. */
+static void read_caller_time(struct forward *f)
 {
 	struct str text = ingress_header(f->req, f->list->env.platform->headers.time_left);
+	clk_ms wait = f->route->timeout;
 	uint64_t ms;
 
-	if (!text.len || !str_to_u64(text, 1u << 30, &ms))
-		return fallback;
-	return (clk_ms)ms;
+	if (text.len && str_to_u64(text, MAX_CALLER_TIME_MS, &ms)) {
+		if ((clk_ms)ms < wait)
+			wait = (clk_ms)ms;
+		f->caller_deadline = f->req->arrived + (clk_ms)ms;
+	}
+	f->deadline = f->req->arrived + wait;
 }
 
 static bool read_key(struct forward *f)
@@ -807,7 +832,6 @@
 {
 	struct forward *f = forward_new(l, req);
 	struct topo *topo = l->env.topo(l->env.data);
-	clk_ms wait;
 
 	ctr_inc(&ctr_requests);
 	f->request_id = ingress_header(req, l->env.platform->headers.request_id);
@@ -833,8 +857,7 @@
 		reject(f, 400, "the key header is missing or not a key");
 		return;
 	}
-	wait = caller_time(f, f->route->timeout);
-	f->deadline = req->arrived + (wait < f->route->timeout ? wait : f->route->timeout);
+	read_caller_time(f);
 	f->fingerprint = fingerprint_of(req);
 	if (quarantine_blocks(l->env.crashes, clk_now(), f->fingerprint)) {
 		refuse(f, "this request has crashed several upstreams", f->route->timeout);
