shared, limits: allowances of accounts over all gateways

One hub holds an account's bucket; gateways lease tokens from it and spend one for each request on arrival, so that no central call is needed for each. Without a holder a gateway keeps to a rate that was reserved for it. The decisions stand in src/shared (no I/O), the messages in process/gateway_limit.c.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -249,6 +249,11 @@
 		.on_misplaced = on_misplaced,
 		.on_leaving = on_leaving,
 		.on_crash = on_crash,
+		.take_allowance = gateway_take_allowance,
+		.cancel_allowance = gateway_cancel_allowance,
+		.spend_allowance = gateway_spend_allowance,
+		.return_allowance = gateway_return_allowance,
+		.charge_allowance = gateway_charge_allowance,
 	};
 }
 
@@ -486,6 +491,7 @@
 	gateway_report_keys(g, now);
 	gateway_end_lost(g, now);
 	gateway_request_config(g, now);
+	gateway_limits_tick(g, now);
 	quarantine_tick(g->crashes, now);
 	if (fleet_tick(g->fleet, now))
 		gateway_sync_services(g);
@@ -597,6 +603,7 @@
 	/* Requests that are left to finish without their caller refer to `callers`. */
 	ingress_close(g->callers);
 	forward_list_destroy(g->forwards);
+	gateway_limits_close(g);
 	ingress_destroy(g->callers);
 	ingress_destroy(g->ready);
 	ingress_destroy(g->metrics);
--- a/src/process/gateway_doc.c
+++ b/src/process/gateway_doc.c
@@ -55,6 +55,7 @@
 	topo_retire(g->topo);
 	g->topo = topo;
 	gateway_keep_config(g, row);
+	gateway_limits_configure(g);
 }
 
 void gateway_apply_lost_config(struct gateway *g, const struct meta_row *rows, size_t n)
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -400,6 +400,11 @@
 		if (p && is_registered(g, p))
 			on_leaving_frame(g, from->node, frame->leaving);
 		break;
+	case BC__FRAME__BODY_LIMIT_ASK:
+	case BC__FRAME__BODY_LIMIT_GRANT:
+		if (p && is_registered(g, p))
+			gateway_on_limit_frame(g, from->node, frame);
+		break;
 	default:
 		if (!gateway_on_key_frame(g, from->node, frame))
 			slots_on_frame(g->slots, from->node, frame);
@@ -480,6 +485,7 @@
 	}
 	g->mesh_changed = true;
 	slots_on_node_down(g->slots, peer->node);
+	gateway_limits_node_down(g, peer->node, peer->closed_by_peer);
 }
 
 /* ---- roles ---------------------------------------------------------------------------------- */
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -3,7 +3,8 @@
  * (heartbeats, roles and elections), gateway_mesh.c (which gateways exist and which are connected),
  * gateway_key.c (ownership maps and reports of key usage that gateways exchange), gateway_doc.c
  * (rows of the store: configuration, upstreams), gateway_table.c (which gateways read the store and
- * how they pass rows on) and gateway_link.c (load of the links to other regions).
+ * how they pass rows on), gateway_link.c (load of the links to other regions) and gateway_limit.c
+ * (allowances of client accounts).
  *
  * A store reader, or reader, is a gateway that follows the store's tables itself. The other
  * gateways of its region are passive: they get the changes from readers.
@@ -168,7 +169,8 @@
 	struct split *split;
 	struct quarantine *crashes; /* crashed upstreams, counted by request fingerprint */
 	struct forward_list *forwards;
-	struct answer_memory answers; /* of upstreams, read and being written */
+	struct gateway_limits *limits; /* NULL until a configuration has client accounts */
+	struct answer_memory answers;  /* of upstreams, read and being written */
 
 	struct topo *topo; /* configuration in force, NULL before the first one */
 	/* Its row, which a restored store may lack. NULL before the first one. */
@@ -323,6 +325,24 @@
 /* Handles frames about keys; returns false for any other frame. */
 bool gateway_on_key_frame(struct gateway *g, uint64_t from, const Bc__Frame *frame);
 
+/* gateway_limit.c */
+void gateway_limits_close(struct gateway *g);
+/* Asks holders for tokens, and ends requests that have waited for them too long. */
+void gateway_limits_tick(struct gateway *g, clk_ms now);
+/* Applies the allowances of a new configuration. */
+void gateway_limits_configure(struct gateway *g);
+/* A connection has closed; `ended`: the process at the other end has closed it. */
+void gateway_limits_node_down(struct gateway *g, uint64_t node, bool ended);
+/* Handles frames about limits; returns false for any other frame. */
+bool gateway_on_limit_frame(struct gateway *g, uint64_t from, const Bc__Frame *frame);
+/* See forward_env. */
+enum share_result gateway_take_allowance(void *gateway, const struct topo_account *account,
+					 struct forward_waiter *w);
+void gateway_cancel_allowance(void *gateway, struct forward_waiter *w);
+void gateway_spend_allowance(void *gateway, const struct topo_account *account);
+void gateway_return_allowance(void *gateway, const struct topo_account *account);
+void gateway_charge_allowance(void *gateway, const struct topo_account *account);
+
 /* gateway_mesh.c */
 void gateway_mesh_open(struct gateway *g);
 void gateway_mesh_close(struct gateway *g);
--- a/src/process/gwset.h
+++ b/src/process/gwset.h
@@ -9,6 +9,7 @@
 #include "base/arena.h"
 #include "base/clk.h"
 #include "base/str.h"
+#include "shared/limit.h"
 
 struct gwset_address {
 	char ip[16];
@@ -49,6 +50,8 @@
 	 */
 	double cold_overrun;
 	uint32_t cold_slack;
+	/* How far all gateways together may exceed the allowance of a client account. */
+	struct limit_bound limit_bound;
 	size_t row_bytes;     /* largest value of a row of the store, in base64 */
 	clk_ms hold_max;      /* longest lease of keys that upstreams accept */
 	clk_ms address_reuse; /* shortest time from the end of an upstream until another one gets
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -2257,6 +2257,186 @@
   assert(message->base.descriptor == &bc__leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bc__limit_use__init
+                     (Bc__LimitUse         *message)
+{
+  static const Bc__LimitUse init_value = BC__LIMIT_USE__INIT;
+  *message = init_value;
+}
+size_t bc__limit_use__get_packed_size
+                     (const Bc__LimitUse *message)
+{
+  assert(message->base.descriptor == &bc__limit_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bc__limit_use__pack
+                     (const Bc__LimitUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bc__limit_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bc__limit_use__pack_to_buffer
+                     (const Bc__LimitUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bc__limit_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bc__LimitUse *
+       bc__limit_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bc__LimitUse *)
+     protobuf_c_message_unpack (&bc__limit_use__descriptor,
+                                allocator, len, data);
+}
+void   bc__limit_use__free_unpacked
+                     (Bc__LimitUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bc__limit_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bc__limit_ask__init
+                     (Bc__LimitAsk         *message)
+{
+  static const Bc__LimitAsk init_value = BC__LIMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t bc__limit_ask__get_packed_size
+                     (const Bc__LimitAsk *message)
+{
+  assert(message->base.descriptor == &bc__limit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bc__limit_ask__pack
+                     (const Bc__LimitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bc__limit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bc__limit_ask__pack_to_buffer
+                     (const Bc__LimitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bc__limit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bc__LimitAsk *
+       bc__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bc__LimitAsk *)
+     protobuf_c_message_unpack (&bc__limit_ask__descriptor,
+                                allocator, len, data);
+}
+void   bc__limit_ask__free_unpacked
+                     (Bc__LimitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bc__limit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bc__limit_lease__init
+                     (Bc__LimitLease         *message)
+{
+  static const Bc__LimitLease init_value = BC__LIMIT_LEASE__INIT;
+  *message = init_value;
+}
+size_t bc__limit_lease__get_packed_size
+                     (const Bc__LimitLease *message)
+{
+  assert(message->base.descriptor == &bc__limit_lease__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bc__limit_lease__pack
+                     (const Bc__LimitLease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bc__limit_lease__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bc__limit_lease__pack_to_buffer
+                     (const Bc__LimitLease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bc__limit_lease__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bc__LimitLease *
+       bc__limit_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bc__LimitLease *)
+     protobuf_c_message_unpack (&bc__limit_lease__descriptor,
+                                allocator, len, data);
+}
+void   bc__limit_lease__free_unpacked
+                     (Bc__LimitLease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bc__limit_lease__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bc__limit_grant__init
+                     (Bc__LimitGrant         *message)
+{
+  static const Bc__LimitGrant init_value = BC__LIMIT_GRANT__INIT;
+  *message = init_value;
+}
+size_t bc__limit_grant__get_packed_size
+                     (const Bc__LimitGrant *message)
+{
+  assert(message->base.descriptor == &bc__limit_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bc__limit_grant__pack
+                     (const Bc__LimitGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bc__limit_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bc__limit_grant__pack_to_buffer
+                     (const Bc__LimitGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bc__limit_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bc__LimitGrant *
+       bc__limit_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bc__LimitGrant *)
+     protobuf_c_message_unpack (&bc__limit_grant__descriptor,
+                                allocator, len, data);
+}
+void   bc__limit_grant__free_unpacked
+                     (Bc__LimitGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bc__limit_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bc__frame__init
                      (Bc__Frame         *message)
 {
@@ -6963,7 +7143,302 @@
   (ProtobufCMessageInit) bc__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor bc__limit_use__field_descriptors[7] =
+{
+  {
+    "limit",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, demand),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fallback",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, fallback),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "need",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, need),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitUse, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bc__limit_use__field_indices_by_name[] = {
+  1,   /* field[1] = ask */
+  3,   /* field[3] = demand */
+  4,   /* field[4] = fallback */
+  6,   /* field[6] = held */
+  0,   /* field[0] = limit */
+  5,   /* field[5] = need */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange bc__limit_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor bc__limit_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bc.LimitUse",
+  "LimitUse",
+  "Bc__LimitUse",
+  "bc",
+  sizeof(Bc__LimitUse),
+  7,
+  bc__limit_use__field_descriptors,
+  bc__limit_use__field_indices_by_name,
+  1,  bc__limit_use__number_ranges,
+  (ProtobufCMessageInit) bc__limit_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bc__limit_ask__field_descriptors[1] =
+{
+  {
+    "uses",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bc__LimitAsk, n_uses),
+    offsetof(Bc__LimitAsk, uses),
+    &bc__limit_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bc__limit_ask__field_indices_by_name[] = {
+  0,   /* field[0] = uses */
+};
+static const ProtobufCIntRange bc__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bc__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bc.LimitAsk",
+  "LimitAsk",
+  "Bc__LimitAsk",
+  "bc",
+  sizeof(Bc__LimitAsk),
+  1,
+  bc__limit_ask__field_descriptors,
+  bc__limit_ask__field_indices_by_name,
+  1,  bc__limit_ask__number_ranges,
+  (ProtobufCMessageInit) bc__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bc__limit_lease__field_descriptors[6] =
+{
+  {
+    "limit",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitLease, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitLease, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitLease, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fallback",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitLease, fallback),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "scarce",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitLease, scarce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__LimitLease, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bc__limit_lease__field_indices_by_name[] = {
+  1,   /* field[1] = ask */
+  3,   /* field[3] = fallback */
+  0,   /* field[0] = limit */
+  5,   /* field[5] = refused */
+  4,   /* field[4] = scarce */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange bc__limit_lease__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bc__limit_lease__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bc.LimitLease",
+  "LimitLease",
+  "Bc__LimitLease",
+  "bc",
+  sizeof(Bc__LimitLease),
+  6,
+  bc__limit_lease__field_descriptors,
+  bc__limit_lease__field_indices_by_name,
+  1,  bc__limit_lease__number_ranges,
+  (ProtobufCMessageInit) bc__limit_lease__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bc__limit_grant__field_descriptors[1] =
+{
+  {
+    "leases",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bc__LimitGrant, n_leases),
+    offsetof(Bc__LimitGrant, leases),
+    &bc__limit_lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bc__limit_grant__field_indices_by_name[] = {
+  0,   /* field[0] = leases */
+};
+static const ProtobufCIntRange bc__limit_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bc__limit_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bc.LimitGrant",
+  "LimitGrant",
+  "Bc__LimitGrant",
+  "bc",
+  sizeof(Bc__LimitGrant),
+  1,
+  bc__limit_grant__field_descriptors,
+  bc__limit_grant__field_indices_by_name,
+  1,  bc__limit_grant__number_ranges,
+  (ProtobufCMessageInit) bc__limit_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bc__frame__field_descriptors[31] =
 {
   {
     "sender",
@@ -7313,6 +7788,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_ask",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bc__Frame, body_case),
+    offsetof(Bc__Frame, limit_ask),
+    &bc__limit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_grant",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bc__Frame, body_case),
+    offsetof(Bc__Frame, limit_grant),
+    &bc__limit_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__frame__field_indices_by_name[] = {
   8,   /* field[8] = ask */
@@ -7331,6 +7830,8 @@
   4,   /* field[4] = lease_ask */
   5,   /* field[5] = lease_reply */
   28,   /* field[28] = leaving */
+  29,   /* field[29] = limit_ask */
+  30,   /* field[30] = limit_grant */
   22,   /* field[22] = pulse */
   12,   /* field[12] = record */
   13,   /* field[13] = record_ack */
@@ -7350,7 +7851,7 @@
   { 1, 0 },
   { 10, 2 },
   { 30, 17 },
-  { 0, 29 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor bc__frame__descriptor =
 {
@@ -7360,7 +7861,7 @@
   "Bc__Frame",
   "bc",
   sizeof(Bc__Frame),
-  29,
+  31,
   bc__frame__field_descriptors,
   bc__frame__field_indices_by_name,
   3,  bc__frame__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -65,6 +65,10 @@
 typedef struct Bc__TableCopy Bc__TableCopy;
 typedef struct Bc__Crash Bc__Crash;
 typedef struct Bc__Leaving Bc__Leaving;
+typedef struct Bc__LimitUse Bc__LimitUse;
+typedef struct Bc__LimitAsk Bc__LimitAsk;
+typedef struct Bc__LimitLease Bc__LimitLease;
+typedef struct Bc__LimitGrant Bc__LimitGrant;
 typedef struct Bc__Frame Bc__Frame;
 
 
@@ -1087,6 +1091,86 @@
     , 0, 0, 0 }
 
 
+/*
+ * Limits that all gateways keep together (shared/limit.h). Amounts are in 1/100.
+ */
+struct  Bc__LimitUse
+{
+  ProtobufCMessage base;
+  uint64_t limit;
+  /*
+   * returned in the answer
+   */
+  uint32_t ask;
+  /*
+   * leased and not spent
+   */
+  uint32_t tokens;
+  /*
+   * requests per second
+   */
+  uint32_t demand;
+  /*
+   * rate that the sender spends at without a holder
+   */
+  uint32_t fallback;
+  /*
+   * tokens for requests that wait
+   */
+  uint32_t need;
+  /*
+   * tokens of requests that are neither sent nor refused
+   */
+  uint32_t held;
+};
+#define BC__LIMIT_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bc__limit_use__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Bc__LimitAsk
+{
+  ProtobufCMessage base;
+  size_t n_uses;
+  Bc__LimitUse **uses;
+};
+#define BC__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bc__limit_ask__descriptor) \
+    , 0,NULL }
+
+
+struct  Bc__LimitLease
+{
+  ProtobufCMessage base;
+  uint64_t limit;
+  uint32_t ask;
+  uint32_t tokens;
+  uint32_t fallback;
+  /*
+   * the bucket has no more
+   */
+  protobuf_c_boolean scarce;
+  /*
+   * the sender does not hold the limit
+   */
+  protobuf_c_boolean refused;
+};
+#define BC__LIMIT_LEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bc__limit_lease__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+struct  Bc__LimitGrant
+{
+  ProtobufCMessage base;
+  size_t n_leases;
+  Bc__LimitLease **leases;
+};
+#define BC__LIMIT_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bc__limit_grant__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   BC__FRAME__BODY__NOT_SET = 0,
   BC__FRAME__BODY_HELLO = 10,
@@ -1115,7 +1199,9 @@
   BC__FRAME__BODY_CRASH = 38,
   BC__FRAME__BODY_KEY_MAP_GET = 39,
   BC__FRAME__BODY_KEY_LOAD = 40,
-  BC__FRAME__BODY_LEAVING = 41
+  BC__FRAME__BODY_LEAVING = 41,
+  BC__FRAME__BODY_LIMIT_ASK = 42,
+  BC__FRAME__BODY_LIMIT_GRANT = 43
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BC__FRAME__BODY__CASE)
 } Bc__Frame__BodyCase;
 
@@ -1156,6 +1242,8 @@
     Bc__KeyMapGet *key_map_get;
     Bc__KeyLoad *key_load;
     Bc__Leaving *leaving;
+    Bc__LimitAsk *limit_ask;
+    Bc__LimitGrant *limit_grant;
   };
 };
 #define BC__FRAME__INIT \
@@ -2113,6 +2201,82 @@
 void   bc__leaving__free_unpacked
                      (Bc__Leaving *message,
                       ProtobufCAllocator *allocator);
+/* Bc__LimitUse methods */
+void   bc__limit_use__init
+                     (Bc__LimitUse         *message);
+size_t bc__limit_use__get_packed_size
+                     (const Bc__LimitUse   *message);
+size_t bc__limit_use__pack
+                     (const Bc__LimitUse   *message,
+                      uint8_t             *out);
+size_t bc__limit_use__pack_to_buffer
+                     (const Bc__LimitUse   *message,
+                      ProtobufCBuffer     *buffer);
+Bc__LimitUse *
+       bc__limit_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bc__limit_use__free_unpacked
+                     (Bc__LimitUse *message,
+                      ProtobufCAllocator *allocator);
+/* Bc__LimitAsk methods */
+void   bc__limit_ask__init
+                     (Bc__LimitAsk         *message);
+size_t bc__limit_ask__get_packed_size
+                     (const Bc__LimitAsk   *message);
+size_t bc__limit_ask__pack
+                     (const Bc__LimitAsk   *message,
+                      uint8_t             *out);
+size_t bc__limit_ask__pack_to_buffer
+                     (const Bc__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Bc__LimitAsk *
+       bc__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bc__limit_ask__free_unpacked
+                     (Bc__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Bc__LimitLease methods */
+void   bc__limit_lease__init
+                     (Bc__LimitLease         *message);
+size_t bc__limit_lease__get_packed_size
+                     (const Bc__LimitLease   *message);
+size_t bc__limit_lease__pack
+                     (const Bc__LimitLease   *message,
+                      uint8_t             *out);
+size_t bc__limit_lease__pack_to_buffer
+                     (const Bc__LimitLease   *message,
+                      ProtobufCBuffer     *buffer);
+Bc__LimitLease *
+       bc__limit_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bc__limit_lease__free_unpacked
+                     (Bc__LimitLease *message,
+                      ProtobufCAllocator *allocator);
+/* Bc__LimitGrant methods */
+void   bc__limit_grant__init
+                     (Bc__LimitGrant         *message);
+size_t bc__limit_grant__get_packed_size
+                     (const Bc__LimitGrant   *message);
+size_t bc__limit_grant__pack
+                     (const Bc__LimitGrant   *message,
+                      uint8_t             *out);
+size_t bc__limit_grant__pack_to_buffer
+                     (const Bc__LimitGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Bc__LimitGrant *
+       bc__limit_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bc__limit_grant__free_unpacked
+                     (Bc__LimitGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Bc__Frame methods */
 void   bc__frame__init
                      (Bc__Frame         *message);
@@ -2284,6 +2448,18 @@
 typedef void (*Bc__Leaving_Closure)
                  (const Bc__Leaving *message,
                   void *closure_data);
+typedef void (*Bc__LimitUse_Closure)
+                 (const Bc__LimitUse *message,
+                  void *closure_data);
+typedef void (*Bc__LimitAsk_Closure)
+                 (const Bc__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Bc__LimitLease_Closure)
+                 (const Bc__LimitLease *message,
+                  void *closure_data);
+typedef void (*Bc__LimitGrant_Closure)
+                 (const Bc__LimitGrant *message,
+                  void *closure_data);
 typedef void (*Bc__Frame_Closure)
                  (const Bc__Frame *message,
                   void *closure_data);
@@ -2345,6 +2521,10 @@
 extern const ProtobufCMessageDescriptor bc__table_copy__descriptor;
 extern const ProtobufCMessageDescriptor bc__crash__descriptor;
 extern const ProtobufCMessageDescriptor bc__leaving__descriptor;
+extern const ProtobufCMessageDescriptor bc__limit_use__descriptor;
+extern const ProtobufCMessageDescriptor bc__limit_ask__descriptor;
+extern const ProtobufCMessageDescriptor bc__limit_lease__descriptor;
+extern const ProtobufCMessageDescriptor bc__limit_grant__descriptor;
 extern const ProtobufCMessageDescriptor bc__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -50,6 +50,8 @@
     "Requests refused since all upstreams that may serve them want none from this gateway.");
 CTR(ctr_unauthorized, "forward_unauthorized_total",
     "Requests refused with 401: their credential names no client account.");
+CTR(ctr_over_allowance, "forward_over_allowance_total",
+    "Requests refused with 429: the allowance of their client account is used up.");
 CTR(ctr_other_instance, "forward_other_instance_total",
     "Answers of another instance at the address of an upstream.");
 HIST(hist_answered, "answer_ms", "Time from the whole request to the answer of an upstream.");
@@ -64,6 +66,9 @@
 	const struct topo_route *route;
 	const struct topo_service *service;
 	struct forward_account account;
+	struct forward_waiter waiter; /* for the allowance of the account */
+	/* The account of whose allowance the request has taken a part, not yet sent; or NULL. */
+	const struct topo_account *allowance;
 	struct slot_ask slot_request;	 /* pending until a slot is granted or refused */
 	struct slot_permit permit;	 /* valid while `call` is open */
 	struct fleet_upstream *upstream; /* NULL unless `call` is open or its answer is handled */
@@ -108,6 +113,9 @@
 	slots_request_release(f->list->env.slots, &f->slot_request);
 	if (f->retry_reserved)
 		f->list->env.return_retry(f->list->env.data, f->service->name);
+	f->list->env.cancel_allowance(f->list->env.data, &f->waiter);
+	if (f->allowance)
+		f->list->env.return_allowance(f->list->env.data, f->allowance);
 	forward_account_release(&f->account);
 	if (f->topo)
 		topo_unref(f->topo);
@@ -231,6 +239,18 @@
 	forward_free(f);
 }
 
+/* Answers 429: the allowance of the account is used up, and the request has not run. */
+static void refuse_over_allowance(struct forward *f)
+{
+	f->why = "over allowance";
+	ctr_inc(&ctr_over_allowance);
+	hist_add(&hist_refused, clk_now() - f->req->arrived);
+	log_outcome(f, 429, "refused");
+	answer_error(f, 429, "the allowance of the client account is used up",
+		     f->waiter.retry_after);
+	forward_free(f);
+}
+
 /* Answers a request that the configuration in force does not allow. */
 static void reject_unauthorized(struct forward *f)
 {
@@ -282,6 +302,23 @@
 	}
 }
 
+/* The request goes to an upstream and keeps its part of the account's allowance. */
+static void spend_allowance(struct forward *f)
+{
+	if (f->allowance)
+		f->list->env.spend_allowance(f->list->env.data, f->allowance);
+	f->allowance = NULL;
+}
+
+/* The request is sent once more although an upstream may have run it. */
+static void charge_allowance(struct forward *f)
+{
+	const struct topo_account *account = f->account.check.account;
+
+	if (account && account->rate > 0)
+		f->list->env.charge_allowance(f->list->env.data, account);
+}
+
 /* Whether the request may be sent again; if so, reserves one retry of the budget. */
 static bool try_reserve_retry(struct forward *f)
 {
@@ -379,6 +416,7 @@
 	f->why = why;
 	f->maybe_ran = true;
 	if ((topo_is_idempotent(f->route) || MUTANT(forward_repeat_once)) && try_reserve_retry(f)) {
+		charge_allowance(f);
 		ctr_inc(&ctr_retries);
 		request_slot(f);
 		return;
@@ -498,6 +536,7 @@
 		end_call(f, ADMIT_OK, a->elapsed, &report);
 		f->maybe_ran = true;
 		f->why = "upstream-error";
+		charge_allowance(f);
 		ctr_inc(&ctr_retries);
 		request_slot(f);
 		return;
@@ -692,6 +731,7 @@
 	f->upstream = u;
 	memcpy(f->last_upstream, u->id, sizeof(f->last_upstream));
 	fleet_hold(u);
+	spend_allowance(f);
 	build_request(f);
 	f->sent_at = clk_now();
 	f->call = upconn_send(u->conns, &f->out, on_answer, f);
@@ -847,6 +887,41 @@
 		       rnd_mix(str_hash(req->host), str_hash(req->body)));
 }
 
+static void on_allowance(void *data, bool granted)
+{
+	struct forward *f = data;
+
+	f->allowance = granted ? f->account.check.account : NULL;
+	if (granted)
+		request_slot(f);
+	else
+		refuse_over_allowance(f);
+}
+
+/* Requests a slot once the allowance of the account permits the request. */
+static void take_allowance(struct forward *f)
+{
+	const struct forward_env *env = &f->list->env;
+	const struct topo_account *account = f->account.check.account;
+
+	f->waiter.cb = on_allowance;
+	f->waiter.data = f;
+	if (!account || account->rate <= 0 || !fits_stop(f)) {
+		request_slot(f);
+		return;
+	}
+	switch (env->take_allowance(env->data, account, &f->waiter)) {
+	case SHARE_GRANTED:
+		on_allowance(f, true);
+		return;
+	case SHARE_REFUSED:
+		on_allowance(f, false);
+		return;
+	case SHARE_WAIT:
+		return;
+	}
+}
+
 void forward_start(struct forward_list *l, struct ingress_request *req)
 {
 	struct forward *f = forward_new(l, req);
@@ -891,7 +966,7 @@
 	f->region = l->env.settings->region;
 	if (!is_home(f, f->region))
 		f->region = other_region(f);
-	request_slot(f);
+	take_allowance(f);
 }
 
 void forward_begin_stop(struct forward_list *l, clk_ms now)
@@ -920,6 +995,7 @@
 			upconn_cancel(f->call);
 			end_call(f, ADMIT_UNUSED, 0, &none);
 		} else {
+			l->env.cancel_allowance(l->env.data, &f->waiter);
 			slots_cancel(l->env.slots, &f->slot_request);
 		}
 		request_slot(f); /* refuses it */
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -16,8 +16,20 @@
 #include "process/quarantine.h"
 #include "process/slots.h"
 #include "process/split.h"
+#include "shared/share.h"
 #include "version/topo.h"
 
+/* A request that waits for a part of its account's allowance; the request owns the memory. */
+struct forward_waiter {
+	uint64_t limit; /* 0: it does not wait */
+	clk_ms since;
+	clk_ms retry_after; /* if refused */
+	void (*cb)(void *data, bool granted);
+	void *data;
+	struct forward_waiter *prev;
+	struct forward_waiter *next;
+};
+
 struct forward_env {
 	h2o_loop_t *loop;
 	const struct platform *platform;
@@ -51,6 +63,18 @@
 	 * process: a hash of the upstream and its start time (see crash.h).
 	 */
 	void (*on_crash)(void *data, uint64_t fingerprint, uint64_t upstream);
+	/*
+	 * Takes a request of the account's allowance. After SHARE_WAIT the waiter's callback is
+	 * called once, unless it is cancelled; after SHARE_REFUSED `w->retry_after` is set.
+	 */
+	enum share_result (*take_allowance)(void *data, const struct topo_account *account,
+					    struct forward_waiter *w);
+	void (*cancel_allowance)(void *data, struct forward_waiter *w);
+	/* The request is sent, or is refused without having been sent. */
+	void (*spend_allowance)(void *data, const struct topo_account *account);
+	void (*return_allowance)(void *data, const struct topo_account *account);
+	/* The request is sent once more although it may have run. */
+	void (*charge_allowance)(void *data, const struct topo_account *account);
 };
 
 struct forward_list;
--- a/test/unit_tables.c
+++ b/test/unit_tables.c
@@ -79,6 +79,10 @@
 {
 }
 
+void gateway_limits_configure(struct gateway *gateway)
+{
+}
+
 void gateway_configure_service(struct gateway *g, const struct topo_service *service)
 {
 }
