accounts: fair shares of a queue by allowance

What callers saw: under lasting overload an account that sends many times its usual took the share of the others.

A request is due when its account, served at the rate of its allowance, would come to it; among requests of equal priority the one due first is served first, and the last one is refused. Without accounts the order of arrival stays.

--- a/src/accounts/account.c
+++ b/src/accounts/account.c
@@ -144,6 +144,15 @@
 	return account->priority * ROUTE_PRIORITIES + route->priority;
 }
 
+uint32_t account_whole_rate(const struct topo_account *account)
+{
+	if (account->rate <= 0)
+		return 0;
+	if (account->rate >= UINT32_MAX)
+		return UINT32_MAX;
+	return account->rate < 1 ? 1 : (uint32_t)account->rate;
+}
+
 bool account_is_home(const struct topo_account *account, const struct topo_route *route,
 		     struct str region)
 {
--- a/src/accounts/account.h
+++ b/src/accounts/account.h
@@ -51,6 +51,8 @@
  * route. The route's stands in for that of an account without one; `account` may be NULL.
  */
 uint32_t account_priority(const struct topo_account *account, const struct topo_route *route);
+/* Returns the rate of the account's allowance in whole requests, at least 1; 0: not limited. */
+uint32_t account_whole_rate(const struct topo_account *account);
 /* Whether the region may serve the request: both lists of home regions bind. */
 bool account_is_home(const struct topo_account *account, const struct topo_route *route,
 		     struct str region);
--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "accounts/fair.h"
+
 /* Time after the request's deadline at which a slot that was not returned is freed. */
 #define SLOT_EXPIRY_MARGIN_MS 200
 /* Shortest Retry-After, and a random addition so that callers do not retry at the same time. */
@@ -369,6 +371,16 @@
 	return wait - budget;
 }
 
+/* Returns the number of requests in the queue that belong to the account. */
+static uint32_t count_account(const struct queue *q, uint64_t account)
+{
+	uint32_t n = 0;
+
+	for (const struct waiting *w = account ? q->head : NULL; w; w = w->next)
+		n += w->request.account == account;
+	return n;
+}
+
 /* Counts the target from the caller's first attempt and ranks the request by what is left. */
 static struct arrival rank_arrival(struct admit *a, clk_ms now, const struct admit_request *request,
 				   const struct upstream *only)
@@ -416,6 +428,8 @@
 	if (waiting_find(a, request->node, request->id))
 		return;
 	r = rank_arrival(a, now, request, only);
+	r.rank.due =
+		fair_due(now, request->account, request->rate, count_account(q, request->account));
 	if (!has_usable_upstream(a)) {
 		refuse(a, now, &r, ADMIT_REFUSE_NO_UPSTREAM, ADMIT_OWNER_WAIT_MS, 0, 0);
 		return;
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -51,6 +51,8 @@
 	uint64_t id;		/* unique within the node */
 	uint32_t key;		/* only for keyed services */
 	uint32_t priority;	/* 0 is the highest */
+	uint64_t account;	/* hash of the client account's name, 0: none */
+	uint32_t rate;		/* of its allowance, requests per second, 0: not limited */
 	clk_ms deadline;	/* the caller has no use for an answer after this time */
 	clk_ms target;		/* time by which the latency objective wants the answer */
 	uint32_t place;		/* hash of the failure domain of the requesting gateway */
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -257,6 +257,8 @@
 	msg.pool = a->pool->id;
 	msg.key = a->slot_request.key;
 	msg.priority = a->slot_request.priority;
+	msg.account = a->slot_request.account;
+	msg.rate = a->slot_request.rate;
 	msg.deadline_ms =
 		(uint32_t)(a->slot_request.deadline > now ? a->slot_request.deadline - now : 0);
 	msg.target_ms = (uint32_t)(a->slot_request.target > now ? a->slot_request.target - now : 0);
@@ -404,6 +406,8 @@
 		.id = msg->id,
 		.key = msg->key,
 		.priority = msg->priority,
+		.account = msg->account,
+		.rate = msg->rate,
 		.deadline = now + msg->deadline_ms,
 		.target = now + msg->target_ms,
 		.fingerprint = msg->fingerprint,
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5534,7 +5534,7 @@
   (ProtobufCMessageInit) bc__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[13] =
 {
   {
     "id",
@@ -5644,6 +5644,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "fingerprint",
     20,
@@ -5670,23 +5694,25 @@
   },
 };
 static const unsigned bc__slot_ask__field_indices_by_name[] = {
+  9,   /* field[9] = account */
   8,   /* field[8] = avoid */
-  10,   /* field[10] = caller_ms */
+  12,   /* field[12] = caller_ms */
   4,   /* field[4] = deadline_ms */
-  9,   /* field[9] = fingerprint */
+  11,   /* field[11] = fingerprint */
   6,   /* field[6] = heavy */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
   7,   /* field[7] = place */
   1,   /* field[1] = pool */
   3,   /* field[3] = priority */
+  10,   /* field[10] = rate */
   5,   /* field[5] = target_ms */
 };
 static const ProtobufCIntRange bc__slot_ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 9 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bc__slot_ask__descriptor =
 {
@@ -5696,7 +5722,7 @@
   "Bc__SlotAsk",
   "bc",
   sizeof(Bc__SlotAsk),
-  11,
+  13,
   bc__slot_ask__field_descriptors,
   bc__slot_ask__field_indices_by_name,
   2,  bc__slot_ask__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -707,6 +707,14 @@
    */
   size_t n_avoid;
   uint64_t *avoid;
+  /*
+   * client account, 0: none
+   */
+  uint64_t account;
+  /*
+   * of its allowance, requests per second, 0: not limited
+   */
+  uint32_t rate;
   /*
    * of the request, equal for all attempts of its caller; 0: unknown
    */
@@ -718,7 +726,7 @@
 };
 #define BC__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Bc__SlotReply
--- a/src/queue/order.c
+++ b/src/queue/order.c
@@ -8,5 +8,7 @@
 		return x->priority < y->priority;
 	if (x->late != y->late && !MUTANT(order_late_first))
 		return y->late;
+	if (x->due != y->due)
+		return x->due < y->due;
 	return x->seq < y->seq;
 }
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -846,6 +846,10 @@
 	f->slot_request.slot_request.key = f->key;
 	f->slot_request.slot_request.priority =
 		account_priority(f->account.check.account, f->route);
+	f->slot_request.slot_request.account =
+		f->account.check.account ? f->account.check.account->id : 0;
+	f->slot_request.slot_request.rate =
+		f->account.check.account ? account_whole_rate(f->account.check.account) : 0;
 	f->slot_request.slot_request.deadline = f->deadline;
 	f->slot_request.slot_request.target = f->req->arrived + f->route->target;
 	f->slot_request.slot_request.fingerprint = f->caller_deadline ? f->fingerprint : 0;
