queue: Retry-After of late callers; early refusal of those put behind others

Callers who could only be answered late came back after 150 to 300 ms, were refused again and had used up their attempts when a burst ended. Requests that more urgent ones had been put before waited until their answer was late.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -3,6 +3,9 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "base/mutant.h"
+#include "queue/comeback.h"
+
 /* Time after the request's deadline at which a slot that was not returned is freed. */
 #define SLOT_EXPIRY_MARGIN_MS 200
 /* Shortest Retry-After, and a random addition so that callers do not retry at the same time. */
@@ -129,8 +132,26 @@
 	clk_ms elapsed;
 };
 
-static void refuse(struct admit *a, clk_ms now, const struct arrival *r, enum admit_refusal reason,
-		   clk_ms retry_after, clk_ms waited, uint32_t ahead)
+/* Returns the Retry-After of a request that finds room after `wait` at the earliest. */
+static clk_ms retry_after(struct admit *a, clk_ms now, const struct arrival *r,
+			  const struct queue *q, clk_ms wait)
+{
+	clk_ms left = r->request.caller_deadline - now;
+
+	if (wait < RETRY_AFTER_MIN_MS)
+		wait = RETRY_AFTER_MIN_MS;
+	wait += (clk_ms)rnd_below(&a->rnd, RETRY_AFTER_JITTER_MS);
+	if (r->request.fingerprint && q && (r->rank.late || backlog_is_lasting(&q->backlog, now))) {
+		clk_ms late = comeback_late(left, rnd_u64(&a->rnd));
+
+		return late > wait && !MUTANT(admit_return_early) ? late : wait;
+	}
+	return wait;
+}
+
+/* `q` is the queue that has no room, NULL if the reason is another. */
+static void refuse(struct admit *a, clk_ms now, const struct arrival *r, const struct queue *q,
+		   enum admit_refusal reason, clk_ms wait, clk_ms waited, uint32_t ahead)
 {
 	struct refusal *refusal = calloc(1, sizeof(*refusal));
 
@@ -139,13 +160,11 @@
 	if (r->request.fingerprint)
 		returns_note_refusal(a->returns, now, r->request.fingerprint,
 				     r->request.caller_deadline, r->request.target);
-	if (retry_after < RETRY_AFTER_MIN_MS)
-		retry_after = RETRY_AFTER_MIN_MS;
 	refusal->decision = (struct admit_decision){
 		.node = r->request.node,
 		.request = r->request.id,
 		.reason = reason,
-		.retry_after = retry_after + (clk_ms)rnd_below(&a->rnd, RETRY_AFTER_JITTER_MS),
+		.retry_after = retry_after(a, now, r, q, wait),
 		.waited = waited,
 		.ahead = ahead,
 		.elapsed = r->elapsed,
@@ -156,11 +175,12 @@
 }
 
 static void waiting_refuse(struct admit *a, clk_ms now, struct waiting *w,
-			   enum admit_refusal reason, clk_ms retry_after)
+			   enum admit_refusal reason, clk_ms wait)
 {
 	struct arrival r = {w->request, w->rank, w->elapsed};
 
-	refuse(a, now, &r, reason, retry_after, now - w->arrived, 0);
+	refuse(a, now, &r, w->queue == &a->ownerless ? NULL : w->queue, reason, wait,
+	       now - w->arrived, 0);
 	waiting_remove(a, w);
 }
 
@@ -389,19 +409,29 @@
 	return r;
 }
 
-/*
- * Returns the longest expected wait with which a request is admitted; `budget` is the longest wait
- * after which its answer is likely to arrive in time.
- */
-static clk_ms longest_wait(const struct admit *a, clk_ms now, struct queue *q,
-			   const struct upstream *only, bool late, clk_ms budget)
+/* How long a request may wait. */
+struct limits {
+	clk_ms expected; /* longest expected wait with which it is admitted */
+	clk_ms wait;	 /* time after which it is refused if it has no slot */
+};
+
+/* `budget` is the longest wait after which the answer is likely to arrive in time. */
+static struct limits limits_of(const struct admit *a, clk_ms now, struct queue *q,
+			       const struct upstream *only, bool late, clk_ms budget)
 {
-	if (admit_wait_behind(a, only, now, q->len) <= 0)
+	double service = admit_mean_service(a, only);
+	double slots = admit_slots(a, only, now);
+	struct limits l = {budget, budget};
+
+	if (admit_wait_behind(a, only, now, q->len) <= 0) {
 		backlog_note_free(&q->backlog, now);
-	else if (!late && backlog_is_lasting(&q->backlog, now))
-		return backlog_budget(budget, admit_mean_service(a, only),
-				      admit_slots(a, only, now));
-	return budget;
+	} else if (!late && backlog_is_lasting(&q->backlog, now)) {
+		l.expected = backlog_budget(budget, service, slots);
+		l.wait = backlog_patience(l.expected, service, slots);
+	}
+	if (l.wait > budget)
+		l.wait = budget;
+	return l;
 }
 
 void admit_request(struct admit *a, clk_ms now, const struct admit_request *request)
@@ -410,14 +440,14 @@
 	struct queue *q = queue_of(a, request, &only);
 	struct arrival r;
 	uint32_t ahead;
-	clk_ms longest;
+	struct limits limits;
 	clk_ms budget;
 
 	if (waiting_find(a, request->node, request->id))
 		return;
 	r = rank_arrival(a, now, request, only);
 	if (!has_usable_upstream(a)) {
-		refuse(a, now, &r, ADMIT_REFUSE_NO_UPSTREAM, ADMIT_OWNER_WAIT_MS, 0, 0);
+		refuse(a, now, &r, NULL, ADMIT_REFUSE_NO_UPSTREAM, ADMIT_OWNER_WAIT_MS, 0, 0);
 		return;
 	}
 	budget = admit_wait_budget(a, only, now, &r.request);
@@ -427,19 +457,19 @@
 		return;
 	}
 	if (only && admit_is_barred(a, only, now, request)) {
-		refuse(a, now, &r, ADMIT_REFUSE_FULL, ADMIT_OWNER_WAIT_MS, 0, 0);
+		refuse(a, now, &r, NULL, ADMIT_REFUSE_FULL, ADMIT_OWNER_WAIT_MS, 0, 0);
 		return;
 	}
 	ahead = count_ahead(q, &r.rank);
-	longest = longest_wait(a, now, q, only, r.rank.late, budget);
-	if (wait_of(a, q, only, now, ahead, r.rank.late) > longest) {
-		refuse(a, now, &r, ADMIT_REFUSE_FULL,
-		       refusal_wait(a, only, now, ahead, r.rank.late, longest), 0, ahead);
+	limits = limits_of(a, now, q, only, r.rank.late, budget);
+	if (wait_of(a, q, only, now, ahead, r.rank.late) > limits.expected) {
+		refuse(a, now, &r, q, ADMIT_REFUSE_FULL,
+		       refusal_wait(a, only, now, ahead, r.rank.late, limits.expected), 0, ahead);
 		return;
 	}
 	if (!r.rank.late)
 		room_note(&q->room, now);
-	add_waiting_request(a, now, &r, q, budget);
+	add_waiting_request(a, now, &r, q, limits.wait);
 	refuse_displaced(a, now, q, only);
 }
 
--- a/src/queue/backlog.h
+++ b/src/queue/backlog.h
@@ -26,5 +26,10 @@
  * queue has to be so that none becomes idle.
  */
 clk_ms backlog_budget(clk_ms budget, double service, double slots);
+/*
+ * Returns the time after which a request that was admitted with at most this expected wait is
+ * refused if it has no slot: others have been put before it, or the upstreams have become slower.
+ */
+clk_ms backlog_patience(clk_ms expected, double service, double slots);
 
 #endif
--- a/test/unit_overload.c
+++ b/test/unit_overload.c
@@ -299,7 +299,10 @@
 }
 END_TEST
 
-/* A burst of five seconds above a load with room. Guards against the refusal of what can wait. */
+/*
+ * A burst of five seconds above a load with room. Guards against the refusal of what can wait, and
+ * against callers using up their attempts while it lasts.
+ */
 START_TEST(burst_is_served_when_it_ends)
 {
 	const struct load load = {
@@ -308,10 +311,15 @@
 	struct result now = play(&load, true);
 
 	check_gain(&former, &now, 1.0);
+	ck_assert_msg(now.never * 10 < former.never * 9, "%zu never, %zu if all count as new",
+		      now.never, former.never);
 }
 END_TEST
 
-/* Three callers in ten are more urgent. Guards against their wait behind the others. */
+/*
+ * Three callers in ten are more urgent. Guards against their wait behind the others, and against
+ * others that have a slot in the end, but late, since these went first.
+ */
 START_TEST(urgent_callers_go_first)
 {
 	const struct load load = {.mean = 1.3, .swing = 0.15, .period = 11000, .urgent = 0.3};
@@ -319,6 +327,7 @@
 	struct result now = play(&load, true);
 
 	check_gain(&former, &now, 1.2);
+	ck_assert_msg(now.late * 20 < now.in_time, "%zu late, %zu in time", now.late, now.in_time);
 	ck_assert_msg(now.urgent_in_time * 100 > now.urgent * 95, "%zu of %zu in time",
 		      now.urgent_in_time, now.urgent);
 }
@@ -406,8 +415,8 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"returns_all_new",	"returns_unbounded",	 "order_late_first",
-	"room_ignore_arrivals", "backlog_never_lasting", NULL,
+	"returns_all_new",	 "returns_unbounded", "order_late_first",   "room_ignore_arrivals",
+	"backlog_never_lasting", "backlog_wait_on",   "admit_return_early", NULL,
 };
 
 static void add_tests(TCase *tc)
