queue: no pauses when all upstreams refuse a share of their requests

Callers saw: while all upstreams of a service refused a share of what they got (503, not run, with free slots), half of its slots were unused and up to 830 requests a second were refused as "full".

Cause: each refusal paused its upstream for 100 ms and more.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -541,6 +541,12 @@
 	upstream_free_if_unused(a, u);
 }
 
+/* Whether the upstream reported a free slot with its answer. */
+static bool had_room(const struct admit_report *r)
+{
+	return r->known && r->running + r->waiting < r->slots;
+}
+
 void admit_done(struct admit *a, clk_ms now, uint64_t id, enum admit_outcome outcome,
 		clk_ms service, const struct admit_report *report)
 {
@@ -554,12 +560,17 @@
 	admit_apply_report(u, now, report);
 	if (admit_apply_limit(a, u, now, report))
 		refuse_excess(a, now, u);
+	if (outcome == ADMIT_OK || outcome == ADMIT_SHED)
+		shedding_note(&u->shedding, &a->shedding, outcome == ADMIT_SHED);
 	switch (outcome) {
 	case ADMIT_OK:
 		u->pause = 0;
 		admit_update_service_time(a, u, service, report);
 		break;
 	case ADMIT_SHED:
+		if (!had_room(report) || !shedding_is_common(&u->shedding, &a->shedding))
+			admit_pause(u, now);
+		break;
 	case ADMIT_UNREACHED:
 	case ADMIT_BROKE:
 		admit_pause(u, now);
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -11,6 +11,7 @@
 #include "queue/order.h"
 #include "queue/returns.h"
 #include "queue/room.h"
+#include "queue/shedding.h"
 
 /* Slowness of an upstream before its first load report, in per cent of the usual service time. */
 #define ADMIT_USUAL_SLOWNESS 100.0
@@ -71,6 +72,7 @@
 	clk_ms utilization_at; /* last update of `utilization` */
 	clk_ms paused_until;   /* no grants before this time, after a failure */
 	clk_ms pause;	       /* length of the last pause, 0 after a success */
+	struct shedding shedding;
 	double limit;	       /* requests per second that it takes, 0: it named none */
 	clk_ms limit_named_at; /* last answer that named `limit` */
 	double tokens;	       /* of the bucket that limits its request rate, at `tokens_at` */
@@ -99,6 +101,7 @@
 	struct queue common;	/* requests of a service that is not keyed, for any upstream */
 	struct queue ownerless; /* requests for keys that have no owner */
 	struct returns *returns;
+	struct shedding shedding;
 	struct refusal *refusals;
 	struct refusal **refusals_end;
 };
--- a/test/unit_overload.c
+++ b/test/unit_overload.c
@@ -26,6 +26,9 @@
 #define ATTEMPTS 3
 /* Transit time of a request, and of an answer. */
 #define TRANSIT_MS 20
+/* Time until the refusal of an upstream, and Retry-After of what it refuses. */
+#define SHED_MS 5
+#define SHED_RETRY_MS 300
 #define DURATION_MS 40000
 /* Callers of the first seconds find empty queues and count for neither side. */
 #define WARM_UP_MS 5000
@@ -42,6 +45,7 @@
 	uint64_t slot;
 	uint32_t priority;
 	uint32_t attempts;
+	bool shed; /* CALLER_RUNNING: the upstream refuses it */
 };
 
 /* A load: requests per second as a share of the capacity, by time. */
@@ -53,6 +57,8 @@
 	clk_ms burst_from;
 	clk_ms burst_until;
 	double urgent;	/* share of callers of higher priority */
+	double shed;	/* share of requests that the upstreams refuse although they have room */
+	bool shed_one;	/* the first upstream refuses all */
 	bool impatient; /* callers come back at once instead of after the Retry-After */
 };
 
@@ -64,6 +70,7 @@
 	struct caller callers[MAX_CALLERS];
 	size_t n;
 	size_t oldest; /* all callers before this one are done */
+	size_t shed;   /* requests refused by upstreams */
 };
 
 struct result {
@@ -74,6 +81,7 @@
 	size_t refusals;
 	size_t urgent; /* callers of higher priority */
 	size_t urgent_in_time;
+	size_t shed; /* requests refused by upstreams */
 };
 
 static double load_at(const struct load *l, clk_ms now)
@@ -152,6 +160,12 @@
 		c->state = CALLER_RUNNING;
 		c->granted = now;
 		c->slot = d.slot;
+		c->shed = (w->load.shed_one && d.upstream == 1) ||
+			  (w->load.shed > 0 && rnd_unit(&w->rnd) < w->load.shed);
+		if (c->shed) {
+			c->due = now + SHED_MS;
+			continue;
+		}
 		c->due = now + SERVICE_MS / 5 + (clk_ms)rnd_below(&w->rnd, SERVICE_MS * 8 / 5);
 	}
 }
@@ -169,6 +183,10 @@
 			continue;
 		if (c->state == CALLER_SENDING) {
 			ask(w, now, c);
+		} else if (c->state == CALLER_RUNNING && c->shed) {
+			w->shed++;
+			admit_done(w->admit, now, c->slot, ADMIT_SHED, SHED_MS, &report);
+			come_back(w, now, c, SHED_RETRY_MS);
 		} else if (c->state == CALLER_RUNNING) {
 			c->state = CALLER_DONE;
 			admit_done(w->admit, now, c->slot, ADMIT_OK, now - c->granted, &report);
@@ -226,6 +244,7 @@
 static struct result play(const struct load *load, bool recognize)
 {
 	static struct world w;
+	struct result r;
 
 	world_init(&w, load, recognize);
 	for (clk_ms now = 0; now < DURATION_MS; now++) {
@@ -234,7 +253,9 @@
 		take_decisions(&w, now);
 	}
 	admit_destroy(w.admit);
-	return count(&w);
+	r = count(&w);
+	r.shed = w.shed;
+	return r;
 }
 
 static size_t served(const struct result *r)
@@ -349,6 +370,33 @@
 }
 END_TEST
 
+/*
+ * All upstreams refuse half of their requests although they have free slots. Guards against pauses
+ * of all of them, while the next attempt would be run.
+ */
+START_TEST(refusals_by_all_upstreams_leave_their_slots_in_use)
+{
+	const struct load load = {.mean = 0.8, .shed = 0.5};
+	struct result r = play(&load, true);
+
+	/* One caller in eight is refused three times. */
+	ck_assert_msg(r.never * 100 < r.callers * 16, "%zu of %zu never", r.never, r.callers);
+}
+END_TEST
+
+/*
+ * One upstream refuses all requests although it has free slots. Guards against its slots, which are
+ * always free, drawing requests that the others would run.
+ */
+START_TEST(an_upstream_that_refuses_all_draws_no_requests)
+{
+	const struct load load = {.mean = 0.7, .shed_one = true};
+	struct result r = play(&load, true);
+
+	ck_assert_msg(r.shed * 50 < r.callers, "%zu of %zu refused", r.shed, r.callers);
+}
+END_TEST
+
 START_TEST(timely_requests_precede_late_ones)
 {
 	const struct order_rank timely = {.priority = 1, .seq = 2};
@@ -415,8 +463,11 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"returns_all_new",	 "returns_unbounded", "order_late_first",   "room_ignore_arrivals",
-	"backlog_never_lasting", "backlog_wait_on",   "admit_return_early", NULL,
+	"returns_all_new",	 "returns_unbounded",
+	"order_late_first",	 "room_ignore_arrivals",
+	"backlog_never_lasting", "backlog_wait_on",
+	"admit_return_early",	 "shedding_pause_all",
+	"shedding_pause_none",	 NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -427,6 +478,8 @@
 	tcase_add_test(tc, burst_is_served_when_it_ends);
 	tcase_add_test(tc, urgent_callers_go_first);
 	tcase_add_test(tc, impatient_callers_gain_nothing);
+	tcase_add_test(tc, refusals_by_all_upstreams_leave_their_slots_in_use);
+	tcase_add_test(tc, an_upstream_that_refuses_all_draws_no_requests);
 	tcase_add_test(tc, timely_requests_precede_late_ones);
 	tcase_add_test(tc, late_requests_wait_for_later_arrivals);
 	tcase_add_test(tc, a_caller_is_known_by_request_and_deadline);
