--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -389,6 +389,17 @@
 	return wait - budget;
 }
 
+/*
+ * Whether the target is out of reach because time has passed since the first attempt. A target that
+ * is too short for the mean service time says nothing of the request: its own may be shorter.
+ */
+static bool is_late(const struct admit *a, clk_ms now, const struct arrival *r,
+		    const struct upstream *only)
+{
+	return (r->elapsed > 0 || r->request.target <= now) &&
+	       admit_misses_target(a, only, now, &r->request);
+}
+
 /* Counts the target from the caller's first attempt and ranks the request by what is left. */
 static struct arrival rank_arrival(struct admit *a, clk_ms now, const struct admit_request *request,
 				   const struct upstream *only)
@@ -403,7 +414,7 @@
 	}
 	r.rank = (struct order_rank){
 		.priority = request->priority,
-		.late = admit_is_late(a, only, now, &r.request),
+		.late = is_late(a, now, &r, only),
 		.seq = a->next_seq++,
 	};
 	return r;
@@ -450,7 +461,8 @@
 		refuse(a, now, &r, NULL, ADMIT_REFUSE_NO_UPSTREAM, ADMIT_OWNER_WAIT_MS, 0, 0);
 		return;
 	}
-	budget = admit_wait_budget(a, only, now, &r.request);
+	budget = r.rank.late ? admit_late_budget(a, only, now, &r.request)
+			     : admit_wait_budget(a, only, now, &r.request);
 	if (q == &a->ownerless) {
 		add_waiting_request(a, now, &r, q,
 				    budget < ADMIT_OWNER_WAIT_MS ? budget : ADMIT_OWNER_WAIT_MS);
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -24,6 +24,9 @@
 #define MIN_LIMIT_PER_S 0.25
 /* Share of the mean service time that must be left before the deadline to start a request. */
 #define MIN_SERVICE_SHARE 0.6
+/* Share of the time until its deadline that a late request waits: the rest is for another attempt.
+ */
+#define LATE_WAIT_SHARE 0.7
 /* Time added for an upstream in another failure domain, as a share of the service time. */
 #define CROSS_DOMAIN_PENALTY 0.05
 #define CROSS_DOMAIN_PENALTY_HEAVY 0.6
@@ -240,7 +243,7 @@
 	return count_capacity(a, only, now).slots;
 }
 
-/* Returns the longest wait after which the answer is likely to arrive by the target. */
+/* Returns the longest wait after which the answer is still likely to arrive by the target. */
 static clk_ms budget_by_target(const struct admit *a, const struct upstream *only, clk_ms now,
 			       const struct admit_request *request)
 {
@@ -248,22 +251,40 @@
 	       (clk_ms)(admit_mean_service(a, only) * TARGET_RESERVE_FACTOR);
 }
 
-bool admit_is_late(const struct admit *a, const struct upstream *only, clk_ms now,
-		   const struct admit_request *request)
+/* The same by the deadline. */
+static clk_ms budget_by_deadline(const struct admit *a, const struct upstream *only, clk_ms now,
+				 const struct admit_request *request)
+{
+	return request->deadline - now - (clk_ms)(admit_mean_service(a, only) * MIN_SERVICE_SHARE);
+}
+
+bool admit_misses_target(const struct admit *a, const struct upstream *only, clk_ms now,
+			 const struct admit_request *request)
 {
 	return budget_by_target(a, only, now, request) <= 0;
 }
 
+clk_ms admit_late_budget(const struct admit *a, const struct upstream *only, clk_ms now,
+			 const struct admit_request *request)
+{
+	return (clk_ms)((double)budget_by_deadline(a, only, now, request) * LATE_WAIT_SHARE);
+}
+
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
 			 const struct admit_request *request)
 {
 	clk_ms by_target = budget_by_target(a, only, now, request);
-	clk_ms by_deadline =
-		request->deadline - now - (clk_ms)(admit_mean_service(a, only) * MIN_SERVICE_SHARE);
+	clk_ms by_deadline = budget_by_deadline(a, only, now, request);
 
 	if (MUTANT(admit_no_refusal))
 		return request->deadline - now;
-	return by_target > 0 && by_target < by_deadline ? by_target : by_deadline;
+	/*
+	 * A retried request may have missed the objective already. It may then wait for half a
+	 * service time if the deadline permits.
+	 */
+	if (by_target <= 0)
+		by_target = (clk_ms)(admit_mean_service(a, only) / 2);
+	return by_target < by_deadline ? by_target : by_deadline;
 }
 
 void admit_pause(struct upstream *u, clk_ms now)
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -137,12 +137,12 @@
 /* Returns the slots of the upstream, or of all if NULL, as far as their rate allows their use. */
 double admit_slots(const struct admit *a, const struct upstream *only, clk_ms now);
 /* Whether an answer is not likely to arrive by the request's target even without a wait. */
-bool admit_is_late(const struct admit *a, const struct upstream *only, clk_ms now,
-		   const struct admit_request *request);
-/*
- * Returns the longest wait after which the answer is still likely to arrive in time: by the target,
- * or by the deadline if the request is late.
- */
+bool admit_misses_target(const struct admit *a, const struct upstream *only, clk_ms now,
+			 const struct admit_request *request);
+/* Returns the longest wait of a request that misses its target. */
+clk_ms admit_late_budget(const struct admit *a, const struct upstream *only, clk_ms now,
+			 const struct admit_request *request);
+/* Returns the longest wait after which the answer is still likely to arrive in time. */
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
 			 const struct admit_request *request);
 /* Stops grants to the upstream for a while after a failure. */
