cost: classes of requests, remaining work of an upstream, share of failures

Admission control knew one mean service time for each service. With classes that differ by over half, waits, budgets and refusals now follow the class; a keyed upstream leaves its last slot to urgent requests while that misses fewer objectives.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <utlist.h>
 
 /* Time after the request's deadline at which a slot that was not returned is freed. */
 #define SLOT_EXPIRY_MARGIN_MS 200
@@ -9,6 +10,9 @@
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_JITTER_MS 150
 
+/* Time after which a request that leaves the last slot to urgent ones is looked at again. */
+#define HOLD_RECHECK_MS 10
+
 /* A service whose cold upstreams may get nothing has no next token. */
 #define MAX_TOKEN_WAIT_MS 10000.0
 
@@ -344,6 +348,7 @@
 		return;
 	}
 	budget = admit_wait_budget(a, only, now, request);
+	admit_note_arrival(a, only, now, request, budget);
 	if (q == &a->ownerless) {
 		add_waiting_request(a, now, request, q,
 				    budget < ADMIT_OWNER_WAIT_MS ? budget : ADMIT_OWNER_WAIT_MS);
@@ -403,6 +408,10 @@
 	s->node = w->request.node;
 	s->upstream = u;
 	s->free_at = w->request.deadline + SLOT_EXPIRY_MARGIN_MS;
+	s->granted_at = now;
+	s->cost_class = w->request.cost_class;
+	s->cost = admit_cost(a, u, s->cost_class);
+	DL_APPEND(u->granted, s);
 	HASH_ADD(hh, a->slots, id, sizeof(s->id), s);
 	u->in_use++;
 	u->tokens = admit_tokens(a, u, now) - 1.0;
@@ -424,6 +433,7 @@
 
 	admit_update_utilization(u, now);
 	u->in_use--;
+	DL_DELETE(u->granted, s);
 	HASH_DEL(a->slots, s);
 	free(s);
 	upstream_free_if_unused(a, u);
@@ -444,19 +454,21 @@
 		refuse_excess(a, now, u);
 	switch (outcome) {
 	case ADMIT_OK:
+		failing_note(&u->failing, now, false);
 		u->pause = 0;
-		admit_update_service_time(a, u, service, report);
+		admit_update_service_time(a, u, s->cost_class, service, report);
 		break;
 	case ADMIT_SHED:
 	case ADMIT_UNREACHED:
 	case ADMIT_BROKE:
+		failing_note(&u->failing, now, true);
 		admit_pause(u, now);
 		break;
 	case ADMIT_TIMEOUT:
 	case ADMIT_CANCELLED:
 		/* The elapsed time is only a lower bound of the service time. */
-		if ((double)service > admit_mean_service(a, u))
-			admit_update_service_time(a, u, service, report);
+		if ((double)service > s->cost.ms)
+			admit_update_service_time(a, u, s->cost_class, service, report);
 		break;
 	case ADMIT_UNUSED:
 		break;
@@ -464,6 +476,16 @@
 	slot_release(a, now, s);
 }
 
+uint32_t admit_learned_cost(const struct admit *a, uint32_t cost_class, double *ms)
+{
+	return cost_learned(&a->costs, cost_class, ms);
+}
+
+double admit_expected_cost(const struct admit *a, uint32_t cost_class)
+{
+	return admit_cost(a, NULL, cost_class).ms;
+}
+
 void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report)
 {
 	struct upstream *u = upstream_find(a, num);
@@ -562,7 +584,7 @@
 			continue;
 		while (w && admit_is_barred(a, u, now, &w->request))
 			w = w->next;
-		if (w) {
+		if (w && !admit_leaves_slot(a, u, now, w)) {
 			grant(a, now, w, u, out);
 			return true;
 		}
@@ -613,6 +635,8 @@
 			at = u->paused_until;
 		else if (admit_tokens(a, u, now) < 1.0)
 			at = now + token_wait(a, u, now);
+		else if (u->queue.len && u->held_at + HOLD_RECHECK_MS > now)
+			at = u->held_at + HOLD_RECHECK_MS;
 		else if (admit_load_elsewhere(u, now))
 			at = u->reported_at + ADMIT_REPORT_AGE_MS;
 		if (at < due)
@@ -621,6 +645,16 @@
 	return due;
 }
 
+/* Returns the expected time left of the running requests, and that of the waiting ones. */
+static double work_ms(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	double ms = admit_work(a, u, now).remaining_ms;
+
+	for (const struct waiting *w = u->queue.head; w; w = w->next)
+		ms += admit_cost(a, u, w->request.cost_class).ms;
+	return ms;
+}
+
 bool admit_load_of(const struct admit *a, uint64_t num, clk_ms now, struct admit_load *out)
 {
 	const struct upstream *u = upstream_find(a, num);
@@ -632,6 +666,8 @@
 		.slots = u->conf.slots,
 		.in_use = u->in_use,
 		.queued = u->queue.len,
+		.work_ms = work_ms(a, u, now),
+		.failing = failing_share(&u->failing, now),
 		.service_ms = admit_mean_service(a, u),
 		.utilization = u->utilization,
 		.limit = admit_is_limited(u, now) ? u->limit : 0,
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -55,6 +55,9 @@
 	/* Choose no cold or limited upstream: another gateway limits their rate. */
 	bool unlimited_only;
 	uint64_t avoid[ADMIT_MAX_AVOID]; /* upstreams that failed this request; unused: 0 */
+	uint32_t cost_class;		 /* see cost_class(), 0: unknown */
+	uint32_t hint_samples;		 /* answers behind `hint_ms` */
+	double hint_ms;			 /* cost of the class as the sender measured it */
 };
 
 /* Load report that an upstream sends with an answer. */
@@ -143,6 +146,16 @@
  * granted, for the time when this one takes over.
  */
 void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report);
+/*
+ * Learns the cost of a class from an answer to a request whose slot another controller granted, for
+ * the time when this one takes over.
+ */
+void admit_learn_cost(struct admit *a, uint32_t cost_class, clk_ms service,
+		      const struct admit_report *report);
+/* Stores what this controller has learned of the class; returns the number of answers, 0: none. */
+uint32_t admit_learned_cost(const struct admit *a, uint32_t cost_class, double *ms);
+/* Returns the expected cost of a request of the class at an upstream of usual speed. */
+double admit_expected_cost(const struct admit *a, uint32_t cost_class);
 /* Sets the mean service time of an upstream to the measurement of another admission controller. */
 void admit_set_service_time(struct admit *a, uint64_t num, clk_ms ms);
 /*
@@ -166,9 +179,11 @@
 struct admit_load {
 	uint64_t num;
 	uint32_t slots;
-	uint32_t in_use;    /* slots granted and not returned */
-	uint32_t queued;    /* requests that wait for this upstream; keyed services only */
-	double service_ms;  /* mean service time */
+	uint32_t in_use;   /* slots granted and not returned */
+	uint32_t queued;   /* requests that wait for this upstream; keyed services only */
+	double work_ms;	   /* expected time left of the running requests, and that of the waiting */
+	double failing;	   /* learned share of failed requests */
+	double service_ms; /* mean service time */
 	double utilization; /* share of the slots in use, averaged over about a second */
 	double limit;	    /* requests per second that it takes, 0 if it names no limit */
 	clk_ms limit_age;   /* time since an answer named the limit */
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -27,6 +27,18 @@
 /* Time added for an upstream in another failure domain, as a share of the service time. */
 #define CROSS_DOMAIN_PENALTY 0.05
 #define CROSS_DOMAIN_PENALTY_HEAVY 0.6
+/* Median of an exponential distribution, as a share of its mean. */
+#define MEDIAN_OF_EXPONENTIAL 0.69
+/*
+ * A few long requests raise the mean of a class: a typical request costs less, by this share of the
+ * mean deviation.
+ */
+#define TYPICAL_BELOW_MEAN 0.6
+/* What the missed objective of a more urgent request counts for, beside one of a less urgent one.
+ */
+#define URGENT_WEIGHT 2.0
+/* Longest expected wait; no request waits that long. */
+#define MAX_WAIT_MS 600000.0
 /* Slowdown of a request when all slots of the upstream are in use, as a share of service time. */
 #define CONCURRENCY_SLOWDOWN 0.15
 
@@ -88,6 +100,8 @@
 		return false;
 	if (admit_tokens(a, u, now) < 1.0)
 		return false;
+	if (u->in_use && failing_is_probed(&u->failing, now))
+		return false;
 	if (MUTANT(admit_over_slots))
 		return used < u->conf.slots + 4;
 	return used < u->conf.slots;
@@ -109,16 +123,31 @@
 	return n ? a->service_ms * slowness / n / 100.0 : a->service_ms;
 }
 
-/* Returns the expected service time of a request that the upstream gets now. */
-static double expected_service_ms(const struct admit *a, const struct upstream *u, clk_ms now)
+struct cost_estimate admit_cost(const struct admit *a, const struct upstream *u,
+				uint32_t cost_class)
+{
+	struct cost_estimate e = cost_predict(&a->costs, cost_class, a->service_ms);
+
+	e.ms *= a->service_ms > 0 ? admit_mean_service(a, u) / a->service_ms : 1;
+	return e;
+}
+
+/*
+ * Returns the expected time to the answer of a request that the upstream gets now. If the upstream
+ * fails requests, that includes sending them again.
+ */
+static double expected_answer_ms(const struct admit *a, const struct upstream *u, clk_ms now,
+				 uint32_t cost_class)
 {
-	double ms = admit_mean_service(a, u);
+	double usual = cost_predict(&a->costs, cost_class, a->service_ms).ms;
+	double ms = usual * u->mean_slowness / 100.0;
 
 	if (now - u->reported_at < ADMIT_REPORT_AGE_MS && u->slowness > 0 &&
 	    !MUTANT(admit_ignore_slow))
-		ms = a->service_ms * u->slowness / 100.0;
-	return ms * (1.0 + CONCURRENCY_SLOWDOWN * (u->in_use + admit_load_elsewhere(u, now)) /
-				   u->conf.slots);
+		ms = usual * u->slowness / 100.0;
+	ms *= 1.0 +
+	      CONCURRENCY_SLOWDOWN * (u->in_use + admit_load_elsewhere(u, now)) / u->conf.slots;
+	return failing_answer_ms(&u->failing, now, ms, usual);
 }
 
 static bool is_avoided(const struct admit_request *request, uint64_t num)
@@ -144,7 +173,7 @@
 		if (!admit_can_grant(a, u, now) || is_avoided(request, u->num) ||
 		    admit_is_barred(a, u, now, request))
 			continue;
-		ms = expected_service_ms(a, u, now);
+		ms = expected_answer_ms(a, u, now, request->cost_class);
 		if (u->conf.place != request->place)
 			ms += (request->heavy ? CROSS_DOMAIN_PENALTY_HEAVY : CROSS_DOMAIN_PENALTY) *
 			      a->service_ms;
@@ -219,6 +248,46 @@
 	return c;
 }
 
+struct work admit_work(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	uint32_t elsewhere = admit_load_elsewhere(u, now);
+	struct work w = {0};
+
+	for (const struct slot *s = u->granted; s; s = s->next)
+		work_add(&w, work_remaining(s->cost.ms, s->cost.deviation,
+					    (double)(now - s->granted_at)));
+	for (uint32_t i = 0; i < elsewhere; i++)
+		work_add(&w, admit_mean_service(a, u));
+	return w;
+}
+
+/*
+ * Returns the wait for a slot of an upstream whose requests differ in cost that is exceeded as
+ * often as not: a request that is more likely than not to get a slot in time is not refused.
+ */
+static double wait_by_work(const struct admit *a, const struct upstream *u, clk_ms now,
+			   uint32_t ahead, const struct capacity *c)
+{
+	struct work work = admit_work(a, u, now);
+	const struct waiting *w = u->queue.head;
+	double idle = c->idle;
+	double queued_ms = 0;
+
+	for (uint32_t i = 0; i < ahead; i++) {
+		double ms = admit_cost(a, u, w ? w->request.cost_class : 0).ms;
+
+		/* The first ones take the idle slots; the others wait before this request. */
+		if (idle >= 1) {
+			idle -= 1;
+			work_add(&work, ms);
+		} else {
+			queued_ms += ms;
+		}
+		w = w ? w->next : NULL;
+	}
+	return work_next_release(&work) * MEDIAN_OF_EXPONENTIAL + queued_ms / c->slots;
+}
+
 clk_ms admit_wait_behind(const struct admit *a, const struct upstream *only, clk_ms now,
 			 uint32_t ahead)
 {
@@ -227,6 +296,8 @@
 
 	if (ahead + 1 <= c.idle)
 		return 0;
+	if (only && c.slots >= only->conf.slots && cost_is_mixed(&a->costs))
+		return (clk_ms)fmin(wait_by_work(a, only, now, ahead, &c), MAX_WAIT_MS);
 	if (c.slots > 0)
 		return (clk_ms)((ahead - c.idle + 1) * service / c.slots);
 	if (c.paused <= 0)
@@ -235,13 +306,20 @@
 	return c.resumes - now + (clk_ms)(ahead * service / c.paused);
 }
 
+/* Returns the time to reserve for the service of a request before its latency objective. */
+static double reserved_ms(const struct admit *a, const struct cost_estimate *cost)
+{
+	if (!cost_is_mixed(&a->costs))
+		return cost->ms * TARGET_RESERVE_FACTOR;
+	return cost->ms * (1.0 - TYPICAL_BELOW_MEAN * cost->deviation);
+}
+
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
 			 const struct admit_request *request)
 {
-	clk_ms by_target = request->target - now -
-			   (clk_ms)(admit_mean_service(a, only) * TARGET_RESERVE_FACTOR);
-	clk_ms by_deadline =
-		request->deadline - now - (clk_ms)(admit_mean_service(a, only) * MIN_SERVICE_SHARE);
+	struct cost_estimate cost = admit_cost(a, only, request->cost_class);
+	clk_ms by_target = request->target - now - (clk_ms)reserved_ms(a, &cost);
+	clk_ms by_deadline = request->deadline - now - (clk_ms)(cost.ms * MIN_SERVICE_SHARE);
 
 	if (MUTANT(admit_no_refusal))
 		return request->deadline - now;
@@ -250,7 +328,7 @@
 	 * service time if the deadline permits.
 	 */
 	if (by_target <= 0)
-		by_target = (clk_ms)(admit_mean_service(a, only) / 2);
+		by_target = (clk_ms)(cost.ms / 2);
 	return by_target < by_deadline ? by_target : by_deadline;
 }
 
@@ -300,17 +378,81 @@
 	return stricter;
 }
 
-void admit_update_service_time(struct admit *a, struct upstream *u, clk_ms service,
-			       const struct admit_report *r)
+void admit_update_service_time(struct admit *a, struct upstream *u, uint32_t cost_class,
+			       clk_ms service, const struct admit_report *r)
 {
 	double ms = (double)service;
+	double usual = cost_predict(&a->costs, cost_class, a->service_ms).ms;
 	bool reported = r->known && r->slowness > 0;
 
 	if (reported)
 		u->mean_slowness += (r->slowness - u->mean_slowness) * SLOWNESS_WEIGHT;
-	else if (a->service_ms > 0)
-		u->mean_slowness +=
-			(ms / a->service_ms * 100.0 - u->mean_slowness) * SLOWNESS_WEIGHT;
+	else if (usual > 0)
+		u->mean_slowness += (ms / usual * 100.0 - u->mean_slowness) * SLOWNESS_WEIGHT;
 	/* The slowness may change while a request runs, so the mean slowness normalizes `ms`. */
-	a->service_ms += (ms * 100.0 / u->mean_slowness - a->service_ms) * SERVICE_TIME_WEIGHT;
+	ms = ms * 100.0 / u->mean_slowness;
+	cost_learn(&a->costs, cost_class, ms, a->service_ms);
+	a->service_ms += (ms - a->service_ms) * SERVICE_TIME_WEIGHT;
+}
+
+void admit_learn_cost(struct admit *a, uint32_t cost_class, clk_ms service,
+		      const struct admit_report *r)
+{
+	double slowness = r->known && r->slowness > 0 ? r->slowness : ADMIT_USUAL_SLOWNESS;
+
+	cost_learn(&a->costs, cost_class, (double)service * 100.0 / slowness, a->service_ms);
+}
+
+void admit_note_arrival(struct admit *a, struct upstream *u, clk_ms now,
+			const struct admit_request *request, clk_ms budget)
+{
+	cost_hint(&a->costs, request->cost_class, request->hint_ms, request->hint_samples,
+		  a->service_ms);
+	if (u)
+		work_note_arrival(&u->arrivals, now, request->priority, (double)budget);
+}
+
+/*
+ * Returns the number of waiting requests, none more urgent than `w`, that are expected to wait too
+ * long if `w` does not get the last slot but one that is free after `release_ms`.
+ */
+static double misses_by_holding(const struct admit *a, const struct upstream *u, clk_ms now,
+				const struct waiting *w, double release_ms)
+{
+	double wait_ms = release_ms;
+	double misses = 0;
+
+	for (; w; w = w->next) {
+		misses += work_chance_over((double)(w->grant_by - now), wait_ms);
+		wait_ms += admit_cost(a, u, w->request.cost_class).ms / (u->conf.slots - 1);
+	}
+	return misses;
+}
+
+bool admit_leaves_slot(const struct admit *a, struct upstream *u, clk_ms now,
+		       const struct waiting *w)
+{
+	uint32_t used = u->in_use + admit_load_elsewhere(u, now);
+	struct work others;
+	struct work all;
+	double urgent;
+	double release_ms;
+
+	if (u->conf.slots < 2 || used + 1 != u->conf.slots || !cost_is_mixed(&a->costs) ||
+	    MUTANT(admit_fill_slots))
+		return false;
+	others = admit_work(a, u, now);
+	release_ms = work_next_release(&others);
+	/* The next slot must be free in time, so that no request is left without one. */
+	if ((double)(w->grant_by - now) <= release_ms && !MUTANT(admit_hold_always))
+		return false;
+	all = others;
+	work_add(&all, admit_cost(a, u, w->request.cost_class).ms);
+	urgent =
+		work_urgent_misses(&u->arrivals, now, w->request.priority, work_next_release(&all));
+	if (urgent <= 0 || (urgent * URGENT_WEIGHT <= misses_by_holding(a, u, now, w, release_ms) &&
+			    !MUTANT(admit_hold_always)))
+		return false;
+	u->held_at = now;
+	return true;
 }
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -6,6 +6,9 @@
 #define PROCESS_ADMIT_PRIV_H
 
 #include "base/hash.h"
+#include "cost/cost.h"
+#include "cost/failing.h"
+#include "cost/work.h"
 #include "process/admit.h"
 
 /* Slowness of an upstream before its first load report, in per cent of the usual service time. */
@@ -48,6 +51,11 @@
 	uint64_t node; /* gateway that uses the slot */
 	struct upstream *upstream;
 	clk_ms free_at; /* freed at this time if the slot has not been returned */
+	clk_ms granted_at;
+	uint32_t cost_class;
+	struct cost_estimate cost; /* at this upstream */
+	struct slot *prev;	   /* slots of the same upstream */
+	struct slot *next;
 	UT_hash_handle hh;
 };
 
@@ -68,6 +76,10 @@
 	clk_ms limit_named_at; /* last answer that named `limit` */
 	double tokens;	       /* of the bucket that limits its request rate, at `tokens_at` */
 	clk_ms tokens_at;
+	struct slot *granted; /* slots in use */
+	struct failing failing;
+	struct work_arrivals arrivals; /* keyed services: requests for keys that it owns */
+	clk_ms held_at;	    /* last time at which its last slot was left to urgent requests */
 	struct queue queue; /* keyed services: requests for keys that this upstream owns */
 	UT_hash_handle hh;
 };
@@ -86,6 +98,7 @@
 	uint64_t next_slot;
 	uint64_t next_seq;
 	double service_ms; /* mean service time of an upstream with the usual slowness */
+	struct cost_table costs;
 	struct upstream *upstreams;
 	struct slot *slots;
 	struct waiting *waiting;
@@ -133,8 +146,22 @@
 /* Stores the limit that an answer names, or its end. Returns true if it begins or is lower now. */
 bool admit_apply_limit(const struct admit *a, struct upstream *u, clk_ms now,
 		       const struct admit_report *r);
-/* Updates the mean service time and the upstream's mean slowness from one answered request. */
-void admit_update_service_time(struct admit *a, struct upstream *u, clk_ms service,
-			       const struct admit_report *r);
+/* Updates the mean service time, that of the class and the upstream's mean slowness. */
+void admit_update_service_time(struct admit *a, struct upstream *u, uint32_t cost_class,
+			       clk_ms service, const struct admit_report *r);
+/* Returns what a request of the class is expected to cost at `u`, at any upstream if NULL. */
+struct cost_estimate admit_cost(const struct admit *a, const struct upstream *u,
+				uint32_t cost_class);
+/* Returns the work of the running requests of an upstream. */
+struct work admit_work(const struct admit *a, const struct upstream *u, clk_ms now);
+/* Notes a request for a key of the upstream; `budget` is the time that it may wait. */
+void admit_note_arrival(struct admit *a, struct upstream *u, clk_ms now,
+			const struct admit_request *request, clk_ms budget);
+/*
+ * Load pattern: long requests that may wait and short urgent ones for keys of the same upstream.
+ * Whether the waiting request should leave the last free slot to more urgent requests for now.
+ */
+bool admit_leaves_slot(const struct admit *a, struct upstream *u, clk_ms now,
+		       const struct waiting *w);
 
 #endif
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -163,6 +163,7 @@
 		.controller = controller,
 		.slot = d->slot,
 		.upstream = d->upstream,
+		.cost_class = a->slot_request.cost_class,
 	};
 
 	request_close(s, a);
@@ -260,6 +261,9 @@
 	msg.target_ms = (uint32_t)(a->slot_request.target > now ? a->slot_request.target - now : 0);
 	msg.heavy = a->slot_request.heavy;
 	msg.place = a->slot_request.place;
+	msg.cost_class = a->slot_request.cost_class;
+	msg.cost_ms = (uint32_t)(a->slot_request.hint_ms + 0.5);
+	msg.cost_samples = a->slot_request.hint_samples;
 	msg.avoid = avoid;
 	for (size_t i = 0; i < ADMIT_MAX_AVOID; i++) {
 		if (a->slot_request.avoid[i])
@@ -335,6 +339,8 @@
 	a->slot_request.node = s->env.node;
 	a->slot_request.id = a->id;
 	a->slot_request.unlimited_only = false;
+	a->slot_request.hint_samples = admit_learned_cost(pool->admit, a->slot_request.cost_class,
+							  &a->slot_request.hint_ms);
 	a->fell_back = false;
 	HASH_ADD(hh, s->requests, id, sizeof(a->id), a);
 	send_request(s, a);
@@ -383,6 +389,8 @@
 	/* This gateway may be the next controller. */
 	if (!MUTANT(slots_forget_limit))
 		admit_note_limit(permit->pool->admit, clk_now(), permit->upstream, report);
+	if (outcome == ADMIT_OK)
+		admit_learn_cost(permit->pool->admit, permit->cost_class, service, report);
 	frame.body_case = BC__FRAME__BODY_SLOT_DONE;
 	frame.slot_done = &msg;
 	s->env.send(s->env.data, permit->controller, &frame);
@@ -403,6 +411,9 @@
 		.target = now + msg->target_ms,
 		.heavy = msg->heavy,
 		.place = msg->place,
+		.cost_class = msg->cost_class,
+		.hint_ms = msg->cost_ms,
+		.hint_samples = msg->cost_samples,
 	};
 	Bc__Frame frame = BC__FRAME__INIT;
 	Bc__SlotReply queued = BC__SLOT_REPLY__INIT;
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -72,6 +72,7 @@
 	uint64_t controller; /* gateway that granted the slot */
 	uint64_t slot;
 	uint64_t upstream;
+	uint32_t cost_class; /* as in the slot request */
 };
 
 /* Slot request of this gateway (wire message SlotAsk); the caller owns the memory. */
@@ -113,8 +114,8 @@
 				   const struct slot_permit *permit),
 			void *data);
 /*
- * Requests a slot. The caller sets all of `a->slot_request` but node, id and unlimited_only. The
- * callback may be called before this function returns.
+ * Requests a slot. The caller sets all of `a->slot_request` but node, id, unlimited_only and what
+ * this gateway has learned of the cost. The callback may be called before this function returns.
  */
 void slots_request(struct slots *s, struct slot_ask *a, struct slot_pool *pool);
 /* Withdraws a pending request; its callback is not called. */
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5354,7 +5354,7 @@
   (ProtobufCMessageInit) bc__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[12] =
 {
   {
     "id",
@@ -5464,9 +5464,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cost_class",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_samples",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__slot_ask__field_indices_by_name[] = {
   8,   /* field[8] = avoid */
+  9,   /* field[9] = cost_class */
+  10,   /* field[10] = cost_ms */
+  11,   /* field[11] = cost_samples */
   4,   /* field[4] = deadline_ms */
   6,   /* field[6] = heavy */
   0,   /* field[0] = id */
@@ -5476,10 +5515,11 @@
   3,   /* field[3] = priority */
   5,   /* field[5] = target_ms */
 };
-static const ProtobufCIntRange bc__slot_ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange bc__slot_ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 15, 9 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bc__slot_ask__descriptor =
 {
@@ -5489,10 +5529,10 @@
   "Bc__SlotAsk",
   "bc",
   sizeof(Bc__SlotAsk),
-  9,
+  12,
   bc__slot_ask__field_descriptors,
   bc__slot_ask__field_indices_by_name,
-  1,  bc__slot_ask__number_ranges,
+  2,  bc__slot_ask__number_ranges,
   (ProtobufCMessageInit) bc__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -703,10 +703,22 @@
    */
   size_t n_avoid;
   uint64_t *avoid;
+  /*
+   * hash of route, method and size of a large body; 0: unknown
+   */
+  uint32_t cost_class;
+  /*
+   * mean cost of the class as the sender measured it
+   */
+  uint32_t cost_ms;
+  /*
+   * answers behind cost_ms, 0: none
+   */
+  uint32_t cost_samples;
 };
 #define BC__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Bc__SlotReply
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -11,6 +11,7 @@
 #include "base/mutant.h"
 #include "base/rnd.h"
 #include "connection/upconn.h"
+#include "cost/cost.h"
 #include "process/stopping.h"
 #include "request/crash.h"
 
@@ -748,6 +749,8 @@
 	f->slot_request.slot_request.target = f->req->arrived + f->route->target;
 	f->slot_request.slot_request.place = (uint32_t)str_hash(l->env.settings->failure_domain);
 	f->slot_request.slot_request.heavy = f->route->kind == TOPO_UPLOAD;
+	f->slot_request.slot_request.cost_class =
+		cost_class(f->route->name, f->req->method, f->req->body.len);
 	slots_request(l->env.slots, &f->slot_request, pool);
 }
 
