--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -306,10 +306,15 @@
 	return c.resumes - now + (clk_ms)(ahead * service / c.paused);
 }
 
-/* Returns the time to reserve for the service of a request before its latency objective. */
-static double reserved_ms(const struct admit *a, const struct cost_estimate *cost)
+/*
+ * Returns the time to reserve for the service of a request before its latency objective. The waits
+ * for the slots of one upstream vary so much that most of the requests which wait longer than they
+ * should are answered in time, and the queue of one upstream is short.
+ */
+static double reserved_ms(const struct admit *a, const struct upstream *only,
+			  const struct cost_estimate *cost)
 {
-	if (!cost_is_mixed(&a->costs))
+	if (!only || !cost_is_mixed(&a->costs))
 		return cost->ms * TARGET_RESERVE_FACTOR;
 	return cost->ms * (1.0 - TYPICAL_BELOW_MEAN * cost->deviation);
 }
@@ -318,7 +323,7 @@
 			 const struct admit_request *request)
 {
 	struct cost_estimate cost = admit_cost(a, only, request->cost_class);
-	clk_ms by_target = request->target - now - (clk_ms)reserved_ms(a, &cost);
+	clk_ms by_target = request->target - now - (clk_ms)reserved_ms(a, only, &cost);
 	clk_ms by_deadline = request->deadline - now - (clk_ms)(cost.ms * MIN_SERVICE_SHARE);
 
 	if (MUTANT(admit_no_refusal))
@@ -426,7 +431,7 @@
 		misses += work_chance_over((double)(w->grant_by - now), wait_ms);
 		wait_ms += admit_cost(a, u, w->request.cost_class).ms / (u->conf.slots - 1);
 	}
-	return misses;
+	return misses / (1 - fmin(u->utilization, 0.9));
 }
 
 bool admit_leaves_slot(const struct admit *a, struct upstream *u, clk_ms now,
