cost: keys weigh by work, upstreams by their slowness, in the plan of a service with mixed costs

A controller sees a few requests a second, so its mean service time says more about the mix that it happened to see than about the upstream; the shard manager planned moves on that. Reports now carry the slowness, and a key counts by what its requests cost. A service of one class reports as before.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -486,6 +486,13 @@
 	return admit_cost(a, NULL, cost_class).ms;
 }
 
+double admit_relative_cost(const struct admit *a, uint32_t cost_class)
+{
+	return a->service_ms > 0
+		       ? cost_predict(&a->costs, cost_class, a->service_ms).ms / a->service_ms
+		       : 1;
+}
+
 void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report)
 {
 	struct upstream *u = upstream_find(a, num);
@@ -502,6 +509,14 @@
 		u->mean_slowness = (double)ms / a->service_ms * 100.0;
 }
 
+void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness)
+{
+	struct upstream *u = upstream_find(a, num);
+
+	if (u)
+		u->mean_slowness = slowness;
+}
+
 void admit_remove_node(struct admit *a, uint64_t node)
 {
 	struct waiting *w;
@@ -669,6 +684,8 @@
 		.work_ms = work_ms(a, u, now),
 		.failing = failing_share(&u->failing, now),
 		.service_ms = admit_mean_service(a, u),
+		.slowness = u->mean_slowness,
+		.mixed = cost_is_mixed(&a->costs),
 		.utilization = u->utilization,
 		.limit = admit_is_limited(u, now) ? u->limit : 0,
 		.limit_age = now - u->limit_named_at,
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -156,8 +156,12 @@
 uint32_t admit_learned_cost(const struct admit *a, uint32_t cost_class, double *ms);
 /* Returns the expected cost of a request of the class at an upstream of usual speed. */
 double admit_expected_cost(const struct admit *a, uint32_t cost_class);
+/* Returns it in mean costs of the service's requests; 1 if all cost about the same. */
+double admit_relative_cost(const struct admit *a, uint32_t cost_class);
 /* Sets the mean service time of an upstream to the measurement of another admission controller. */
 void admit_set_service_time(struct admit *a, uint64_t num, clk_ms ms);
+/* Sets its slowness, in per cent of the usual service time. */
+void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness);
 /*
  * Removes all waiting requests of a failed node. Slots granted to the node stay in use until they
  * expire.
@@ -184,6 +188,8 @@
 	double work_ms;	   /* expected time left of the running requests, and that of the waiting */
 	double failing;	   /* learned share of failed requests */
 	double service_ms; /* mean service time */
+	double slowness;   /* mean, in per cent of the usual */
+	bool mixed;	   /* the costs of the requests differ, see cost_is_mixed() */
 	double utilization; /* share of the slots in use, averaged over about a second */
 	double limit;	    /* requests per second that it takes, 0 if it names no limit */
 	clk_ms limit_age;   /* time since an answer named the limit */
--- a/src/process/gateway_key.c
+++ b/src/process/gateway_key.c
@@ -287,6 +287,7 @@
 		speed->num = owner;
 		known = slots_speed_of(g->slots, s->name, owner);
 		speed->service_ms = (uint32_t)known.service_ms;
+		speed->slowness = known.slowness;
 		speed->limit = known.limit;
 		msg->upstreams[msg->n_upstreams++] = speed;
 	}
@@ -335,8 +336,11 @@
 			shardmgr_record_request(s->shardmgr, msg->keys[i]);
 	}
 	for (size_t i = 0; i < msg->n_upstreams; i++) {
-		const struct slots_speed speed = {msg->upstreams[i]->service_ms,
-						  msg->upstreams[i]->limit};
+		const struct slots_speed speed = {
+			.service_ms = msg->upstreams[i]->service_ms,
+			.slowness = msg->upstreams[i]->slowness,
+			.limit = msg->upstreams[i]->limit,
+		};
 
 		slots_note_speed(g->slots, s->name, msg->upstreams[i]->num, &speed);
 	}
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -233,6 +233,16 @@
 
 /* ---- requests of this gateway --------------------------------------------------------------- */
 
+/* Counts a request for its key by what it is expected to cost, in mean costs of the service. */
+static void note_key(struct slot_pool *p, const struct admit_request *request)
+{
+	struct slots *s = p->slots;
+
+	p->owed_cost += admit_relative_cost(p->admit, request->cost_class);
+	for (; p->owed_cost >= 1; p->owed_cost -= 1)
+		s->env.on_key(s->env.data, p->service, request->key);
+}
+
 static void request_locally(struct slots *s, struct slot_ask *a)
 {
 	a->controller = s->env.node;
@@ -240,7 +250,7 @@
 	timer_cancel(&a->timer);
 	ctr_inc(&ctr_local);
 	if (a->pool->keyed)
-		s->env.on_key(s->env.data, a->pool->service, a->slot_request.key);
+		note_key(a->pool, &a->slot_request);
 	admit_request(a->pool->admit, clk_now(), &a->slot_request);
 	dispatch(a->pool);
 }
@@ -430,7 +440,7 @@
 	if (p->keyed) {
 		slot_request.unlimited_only =
 			s->env.controller(s->env.data, p, slot_request.key) != s->env.node;
-		s->env.on_key(s->env.data, p->service, slot_request.key);
+		note_key(p, &slot_request);
 	}
 	admit_request(p->admit, now, &slot_request);
 	dispatch(p);
@@ -580,6 +590,8 @@
 	if (!p || !admit_load_of(p->admit, upstream, clk_now(), &load))
 		return speed;
 	speed.service_ms = (clk_ms)load.service_ms;
+	if (load.mixed && !MUTANT(slots_report_mixed_mean))
+		speed.slowness = (uint32_t)load.slowness;
 	if (load.limit_age < LIMIT_REPORT_AGE_MS)
 		speed.limit = load.limit;
 	return speed;
@@ -594,7 +606,9 @@
 		.notice = {.limited = true, .limit = speed->limit},
 	};
 
-	if (p && speed->service_ms > 0)
+	if (p && speed->slowness > 0)
+		admit_set_slowness(p->admit, upstream, speed->slowness);
+	else if (p && speed->service_ms > 0)
 		admit_set_service_time(p->admit, upstream, speed->service_ms);
 	if (p && speed->limit > 0)
 		admit_note_limit(p->admit, clk_now(), upstream, &report);
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -47,7 +47,10 @@
 	void (*on_answer_time)(void *data, uint64_t node, clk_ms ms);
 	/* The controller `node` neither confirmed nor decided a slot request in time. */
 	void (*on_no_answer)(void *data, uint64_t node);
-	/* Called for each slot request that this gateway decides, if the service is keyed. */
+	/*
+	 * Called for each slot request that this gateway decides, if the service is keyed; if the
+	 * costs of its requests differ, once for each mean cost of the service, on average.
+	 */
 	void (*on_key)(void *data, const char *service, uint32_t key);
 };
 
@@ -59,6 +62,7 @@
 	bool keyed;
 	bool dispatching; /* decisions are being delivered: nested calls of dispatch() return */
 	bool known;	  /* the fleet has upstreams there, usable or not */
+	double owed_cost; /* mean costs of requests that on_key() has not been called for yet */
 	bool reroute_due; /* owners of keys changed, the timer moves waiting requests */
 	struct slots *slots;
 	struct admit *admit;
@@ -131,7 +135,12 @@
 /* What a controller knows of an upstream that the shard manager plans with. */
 struct slots_speed {
 	clk_ms service_ms; /* mean service time, 0 if unknown */
-	double limit;	   /* requests per second that it takes by a recent answer, 0: none named */
+	/*
+	 * Mean slowness in per cent if the costs of the service's requests differ, else 0. The mean
+	 * service time then depends on which requests the sender happened to see.
+	 */
+	uint32_t slowness;
+	double limit; /* requests per second that it takes by a recent answer, 0: none named */
 };
 
 /* Returns the speed of an upstream of a keyed service. */
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6205,7 +6205,7 @@
   (ProtobufCMessageInit) bc__key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[4] =
 {
   {
     "num",
@@ -6243,16 +6243,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slowness",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__UpstreamSpeed, slowness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__upstream_speed__field_indices_by_name[] = {
   2,   /* field[2] = limit */
   0,   /* field[0] = num */
   1,   /* field[1] = service_ms */
+  3,   /* field[3] = slowness */
 };
-static const ProtobufCIntRange bc__upstream_speed__number_ranges[1 + 1] =
+static const ProtobufCIntRange bc__upstream_speed__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 15, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bc__upstream_speed__descriptor =
 {
@@ -6262,10 +6276,10 @@
   "Bc__UpstreamSpeed",
   "bc",
   sizeof(Bc__UpstreamSpeed),
-  3,
+  4,
   bc__upstream_speed__field_descriptors,
   bc__upstream_speed__field_indices_by_name,
-  1,  bc__upstream_speed__number_ranges,
+  2,  bc__upstream_speed__number_ranges,
   (ProtobufCMessageInit) bc__upstream_speed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -891,10 +891,14 @@
    * requests per second that it takes by its last answers, 0: it names none
    */
   double limit;
+  /*
+   * mean, per cent of the usual; 0: all requests cost about service_ms
+   */
+  uint32_t slowness;
 };
 #define BC__UPSTREAM_SPEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__upstream_speed__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
