--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -29,6 +29,8 @@
 #define CROSS_DOMAIN_PENALTY_HEAVY 0.6
 /* Median of an exponential distribution, as a share of its mean. */
 #define MEDIAN_OF_EXPONENTIAL 0.69
+/* The same for a request that waits behind others for a slot of one upstream. */
+#define QUEUED_RESERVE_FACTOR 0.9
 /*
  * A few long requests raise the mean of a class: a typical request costs less, by this share of the
  * mean deviation.
@@ -307,15 +309,20 @@
 }
 
 /*
- * Returns the time to reserve for the service of a request before its latency objective. The waits
- * for the slots of one upstream vary so much that most of the requests which wait longer than they
- * should are answered in time, and the queue of one upstream is short.
+ * Returns the time to reserve for the service of a request before its latency objective. A request
+ * that is next at its upstream waits for one slot, and that wait varies so much that the typical
+ * cost is enough. Behind others the wait is more certain, and the larger reserve keeps a lasting
+ * overload from delaying all admitted requests. The wait for any of many slots varies least.
  */
-static double reserved_ms(const struct admit *a, const struct upstream *only,
+static double reserved_ms(const struct admit *a, const struct upstream *only, uint32_t priority,
 			  const struct cost_estimate *cost)
 {
+	const struct waiting *first = only ? only->queue.head : NULL;
+
 	if (!only || !cost_is_mixed(&a->costs))
 		return cost->ms * TARGET_RESERVE_FACTOR;
+	if (first && first->request.priority <= priority)
+		return cost->ms * QUEUED_RESERVE_FACTOR;
 	return cost->ms * (1.0 - TYPICAL_BELOW_MEAN * cost->deviation);
 }
 
@@ -323,7 +330,8 @@
 			 const struct admit_request *request)
 {
 	struct cost_estimate cost = admit_cost(a, only, request->cost_class);
-	clk_ms by_target = request->target - now - (clk_ms)reserved_ms(a, only, &cost);
+	clk_ms by_target =
+		request->target - now - (clk_ms)reserved_ms(a, only, request->priority, &cost);
 	clk_ms by_deadline = request->deadline - now - (clk_ms)(cost.ms * MIN_SERVICE_SHARE);
 
 	if (MUTANT(admit_no_refusal))
