--- a/src/cost/cost.c
+++ b/src/cost/cost.c
@@ -2,6 +2,8 @@
 
 #include <math.h>
 
+#include "base/ctr.h"
+#include "base/hist.h"
 #include "base/mutant.h"
 #include "base/rnd.h"
 
@@ -27,6 +29,10 @@
 /* Bodies up to this size make no class of their own; above, each factor of 4 in size does. */
 #define LARGE_BODY_BYTES 65536
 
+HIST(hist_ratio, "cost_real_percent", "Real cost of a request, in per cent of the predicted one.");
+CTR(ctr_merged, "cost_classes_merged_total",
+    "Classes that were merged, since others came instead.");
+
 uint32_t cost_class(struct str route, struct str method, size_t body_bytes)
 {
 	uint64_t size_step = 0;
@@ -73,6 +79,8 @@
 			if (t->entries[i].used < oldest->used)
 				oldest = &t->entries[i];
 		}
+		if (oldest->class_id)
+			ctr_inc(&ctr_merged);
 		merge_into_others(t, oldest);
 		oldest->class_id = class_id;
 		oldest->deviation = INITIAL_DEVIATION;
@@ -129,9 +137,8 @@
 	struct cost_estimate expected = cost_predict(t, class_id, usual_ms);
 	double weight;
 
-	t->predicted++;
-	t->under_half += ms < expected.ms / 2;
-	t->over_double += ms > expected.ms * 2;
+	if (expected.ms > 0)
+		hist_add(&hist_ratio, (clk_ms)(100 * ms / expected.ms));
 	if (!MUTANT(cost_trust_samples))
 		ms = fmin(ms, MAX_SAMPLE_FACTOR * fmax(expected.ms, 1));
 	if (e->samples < AVERAGED_SAMPLES)
--- a/src/cost/cost.h
+++ b/src/cost/cost.h
@@ -33,10 +33,6 @@
 	uint32_t classes; /* learned classes; see cost_is_mixed() */
 	double lowest_ms; /* lowest and highest mean of a learned class */
 	double highest_ms;
-	/* Answers by the ratio of the real cost to the predicted one. */
-	uint64_t predicted;
-	uint64_t under_half;
-	uint64_t over_double;
 };
 
 /* What is expected of one request. */
--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -483,14 +483,12 @@
 
 double admit_expected_cost(const struct admit *a, uint32_t cost_class)
 {
-	return admit_cost(a, NULL, cost_class).ms;
+	return cost_predict(&a->costs, cost_class, a->service_ms).ms;
 }
 
 double admit_relative_cost(const struct admit *a, uint32_t cost_class)
 {
-	return a->service_ms > 0
-		       ? cost_predict(&a->costs, cost_class, a->service_ms).ms / a->service_ms
-		       : 1;
+	return a->service_ms > 0 ? admit_expected_cost(a, cost_class) / a->service_ms : 1;
 }
 
 void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report)
@@ -693,6 +691,18 @@
 	return true;
 }
 
+double admit_work_ms(const struct admit *a, clk_ms now)
+{
+	const struct upstream *u;
+	double ms = 0;
+
+	for (u = a->upstreams; u; u = u->hh.next)
+		ms += work_ms(a, u, now);
+	for (const struct waiting *w = a->common.head; w; w = w->next)
+		ms += admit_expected_cost(a, w->request.cost_class);
+	return ms;
+}
+
 size_t admit_waiting_count(const struct admit *a)
 {
 	return HASH_COUNT(a->waiting);
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -197,6 +197,8 @@
 
 /* Stores the load of an upstream in `out`; returns false if the upstream is unknown. */
 bool admit_load_of(const struct admit *a, uint64_t num, clk_ms now, struct admit_load *out);
+/* Returns the expected time left of all running requests, and that of the waiting ones. */
+double admit_work_ms(const struct admit *a, clk_ms now);
 /* Returns the number of waiting requests. */
 size_t admit_waiting_count(const struct admit *a);
 
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 
+#include "base/ctr.h"
 #include "base/mutant.h"
 
 /* Weights of a new sample in the moving averages of service time and of an upstream's slowness. */
@@ -39,11 +40,16 @@
 /* What the missed objective of a more urgent request counts for, beside one of a less urgent one.
  */
 #define URGENT_WEIGHT 2.0
+/* Time without a check after which a slot that is left free counts as left anew. */
+#define HOLD_PAUSE_MS 50
 /* Longest expected wait; no request waits that long. */
 #define MAX_WAIT_MS 600000.0
 /* Slowdown of a request when all slots of the upstream are in use, as a share of service time. */
 #define CONCURRENCY_SLOWDOWN 0.15
 
+CTR(ctr_left, "slots_left_to_urgent_total",
+    "Times that a request left the last slot of an upstream to more urgent ones.");
+
 bool admit_is_usable(const struct upstream *u)
 {
 	return u->present && u->conf.usable;
@@ -466,6 +472,8 @@
 	if (urgent <= 0 || (urgent * URGENT_WEIGHT <= misses_by_holding(a, u, now, w, release_ms) &&
 			    !MUTANT(admit_hold_always)))
 		return false;
+	if (now - u->held_at > HOLD_PAUSE_MS)
+		ctr_inc(&ctr_left);
 	u->held_at = now;
 	return true;
 }
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -17,6 +17,8 @@
 #define CROSS_REGION_ACK_TIMEOUT_MS 250
 /* A limit is reported to the shard manager only if an answer named it within this time. */
 #define LIMIT_REPORT_AGE_MS 1000
+/* Interval of the gauge of expected work. */
+#define WORK_GAUGE_MS 500
 /* Expected service time of a service before its first answer. */
 #define INITIAL_SERVICE_MS 200
 
@@ -26,11 +28,14 @@
 CTR(ctr_fallback, "slots_fallback_total", "Asks that the lender did not answer.");
 CTR(ctr_no_upstream, "slots_no_upstream_total", "Asks whose lender knew no upstream.");
 
+CTR_GAUGE(ctr_work, "slots_work_ms", "Expected time left of requests, running or waiting here.");
+
 struct slots {
 	struct slots_env env;
 	uint64_t next_request;
 	struct slot_pool *pools;
 	struct slot_ask *requests;
+	double work_ms; /* summed over the pools, for the metrics */
 };
 
 static uint64_t pool_id(struct str service, struct str region)
@@ -199,6 +204,19 @@
 		return_unused(s, p, s->env.node, d->slot);
 }
 
+static void update_work_gauge(struct slot_pool *p, clk_ms now)
+{
+	struct slots *s = p->slots;
+
+	if (now - p->work_at < WORK_GAUGE_MS)
+		return;
+	p->work_at = now;
+	s->work_ms -= p->work_ms;
+	p->work_ms = admit_work_ms(p->admit, now);
+	s->work_ms += p->work_ms;
+	ctr_set(&ctr_work, s->work_ms > 0 ? (uint64_t)s->work_ms : 0);
+}
+
 /*
  * Delivers all decisions that are ready and sets the timer for the next ones. Callbacks may submit
  * new requests; the loop handles these too.
@@ -224,6 +242,7 @@
 			return_unused(s, p, s->env.node, d.slot);
 	}
 	p->dispatching = false;
+	update_work_gauge(p, now);
 	due = admit_due(p->admit, now);
 	if (due == CLK_NEVER)
 		timer_cancel(&p->timer);
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -62,6 +62,8 @@
 	bool keyed;
 	bool dispatching; /* decisions are being delivered: nested calls of dispatch() return */
 	bool known;	  /* the fleet has upstreams there, usable or not */
+	double work_ms;	  /* part of the gauge of expected work, at `work_at` */
+	clk_ms work_at;
 	double owed_cost; /* mean costs of requests that on_key() has not been called for yet */
 	bool reroute_due; /* owners of keys changed, the timer moves waiting requests */
 	struct slots *slots;
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -133,6 +133,14 @@
 	return pool && pool->keyed ? slots_owner(pool, f->key) : 0;
 }
 
+/* Returns the cost that this gateway expects of the request, 0 if it asked for no slot. */
+static double predicted_ms(const struct forward *f)
+{
+	const struct slot_ask *a = &f->slot_request;
+
+	return a->pool ? admit_expected_cost(a->pool->admit, a->slot_request.cost_class) : 0;
+}
+
 /* Logs one line per request with its outcome and the data behind the decisions. */
 static void log_outcome(const struct forward *f, int status, const char *outcome)
 {
@@ -141,7 +149,8 @@
 	log_write(&log, LOG_INFO, f->request_id,
 		  "%s status=%d why=%s route=%.*s service=%.*s key=%u owner=%016llx upstream=%s "
 		  "sends=%u "
-		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld config=%llu",
+		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld config=%llu "
+		  "cost_ms=%.0f",
 		  outcome, status, f->why ? f->why : "-", f->route ? (int)f->route->name.len : 1,
 		  f->route ? f->route->name.ptr : "-", f->service ? (int)f->service->name.len : 1,
 		  f->service ? f->service->name.ptr : "-", f->key,
@@ -149,7 +158,7 @@
 		  f->upstream ? f->upstream->id : f->last_upstream, f->sends,
 		  (unsigned long long)f->controller, f->ahead, (long long)f->waited,
 		  (long long)(now - f->req->arrived), (long long)(f->deadline - now),
-		  f->topo ? (unsigned long long)f->topo->version : 0ULL);
+		  f->topo ? (unsigned long long)f->topo->version : 0ULL, predicted_ms(f));
 }
 
 /* ---- answers -------------------------------------------------------------------------------- */
