--- a/test/unit_placement.c
+++ b/test/unit_placement.c
@@ -15,8 +15,8 @@
 static const struct placement_class long_520 = {2, 0, 520, 0.8, 1500, 4000};
 static const struct placement_class short_96 = {0, 0, 96, 0.3, 400, 2500};
 static const struct placement_class long_300 = {2, 0, 300, 0.8, 1500, 6000};
-static const double parts_4_slots[] = {303, 416};
-static const double parts_2_slots[] = {84, 308};
+static const double parts_4_slots[PLACEMENT_CLASSES] = {303, 416};
+static const double parts_2_slots[PLACEMENT_CLASSES] = {84, 308};
 
 static void world(struct placement *p, uint32_t slots, bool keyed)
 {
@@ -141,7 +141,7 @@
  */
 START_TEST(lasting_overload_of_low_priority)
 {
-	static const double parts[] = {100, 416};
+	static const double parts[PLACEMENT_CLASSES] = {100, 416};
 	static struct comparison c;
 	struct placement p;
 
@@ -160,7 +160,7 @@
  */
 START_TEST(long_requests_do_not_starve)
 {
-	static const double parts[] = {4000, 300};
+	static const double parts[PLACEMENT_CLASSES] = {4000, 300};
 	static struct comparison c;
 	struct placement p;
 
