--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <utlist.h>
 
 #include "base/mutant.h"
 #include "queue/comeback.h"
@@ -14,6 +15,8 @@
 
 /* Wait up to which later arrivals are left out of the estimate, as a share of the service time. */
 #define SHORT_WAIT_SHARE 0.5
+/* Time after which a request that leaves the last slot to urgent ones is looked at again. */
+#define HOLD_RECHECK_MS 10
 
 /* A service whose cold upstreams may get nothing has no next token. */
 #define MAX_TOKEN_WAIT_MS 10000.0
@@ -463,6 +466,7 @@
 	}
 	budget = r.rank.late ? admit_late_budget(a, only, now, &r.request)
 			     : admit_wait_budget(a, only, now, &r.request);
+	admit_note_arrival(a, only, now, request, budget);
 	if (q == &a->ownerless) {
 		add_waiting_request(a, now, &r, q,
 				    budget < ADMIT_OWNER_WAIT_MS ? budget : ADMIT_OWNER_WAIT_MS);
@@ -525,6 +529,10 @@
 	s->node = w->request.node;
 	s->upstream = u;
 	s->free_at = w->request.deadline + SLOT_EXPIRY_MARGIN_MS;
+	s->granted_at = now;
+	s->cost_class = w->request.cost_class;
+	s->cost = admit_cost(a, u, s->cost_class);
+	DL_APPEND(u->granted, s);
 	HASH_ADD(hh, a->slots, id, sizeof(s->id), s);
 	u->in_use++;
 	u->tokens = admit_tokens(a, u, now) - 1.0;
@@ -548,6 +556,7 @@
 
 	admit_update_utilization(u, now);
 	u->in_use--;
+	DL_DELETE(u->granted, s);
 	HASH_DEL(a->slots, s);
 	free(s);
 	upstream_free_if_unused(a, u);
@@ -576,22 +585,26 @@
 		shedding_note(&u->shedding, &a->shedding, outcome == ADMIT_SHED);
 	switch (outcome) {
 	case ADMIT_OK:
+		failing_note(&u->failing, now, false);
 		u->pause = 0;
-		admit_update_service_time(a, u, service, report);
+		admit_update_service_time(a, u, s->cost_class, service, report);
 		break;
 	case ADMIT_SHED:
-		if (!had_room(report) || !shedding_is_common(&u->shedding, &a->shedding))
-			admit_pause(u, now);
+		if (had_room(report) && shedding_is_common(&u->shedding, &a->shedding))
+			break;
+		failing_note(&u->failing, now, true);
+		admit_pause(u, now);
 		break;
 	case ADMIT_UNREACHED:
 	case ADMIT_BROKE:
+		failing_note(&u->failing, now, true);
 		admit_pause(u, now);
 		break;
 	case ADMIT_TIMEOUT:
 	case ADMIT_CANCELLED:
 		/* The elapsed time is only a lower bound of the service time. */
-		if ((double)service > admit_mean_service(a, u))
-			admit_update_service_time(a, u, service, report);
+		if ((double)service > s->cost.ms)
+			admit_update_service_time(a, u, s->cost_class, service, report);
 		break;
 	case ADMIT_UNUSED:
 		break;
@@ -599,6 +612,21 @@
 	slot_release(a, now, s);
 }
 
+uint32_t admit_learned_cost(const struct admit *a, uint32_t cost_class, double *ms)
+{
+	return cost_learned(&a->costs, cost_class, ms);
+}
+
+double admit_expected_cost(const struct admit *a, uint32_t cost_class)
+{
+	return cost_predict(&a->costs, cost_class, a->service_ms).ms;
+}
+
+double admit_relative_cost(const struct admit *a, uint32_t cost_class)
+{
+	return a->service_ms > 0 ? admit_expected_cost(a, cost_class) / a->service_ms : 1;
+}
+
 void admit_note_limit(struct admit *a, clk_ms now, uint64_t num, const struct admit_report *report)
 {
 	struct upstream *u = upstream_find(a, num);
@@ -615,6 +643,14 @@
 		u->mean_slowness = (double)ms / a->service_ms * 100.0;
 }
 
+void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness)
+{
+	struct upstream *u = upstream_find(a, num);
+
+	if (u)
+		u->mean_slowness = slowness;
+}
+
 void admit_remove_node(struct admit *a, uint64_t node)
 {
 	struct waiting *w;
@@ -697,7 +733,7 @@
 			continue;
 		while (w && admit_is_barred(a, u, now, &w->request))
 			w = w->next;
-		if (w) {
+		if (w && !admit_leaves_slot(a, u, now, w)) {
 			grant(a, now, w, u, out);
 			return true;
 		}
@@ -748,6 +784,8 @@
 			at = u->paused_until;
 		else if (admit_tokens(a, u, now) < 1.0)
 			at = now + token_wait(a, u, now);
+		else if (u->queue.len && u->held_at + HOLD_RECHECK_MS > now)
+			at = u->held_at + HOLD_RECHECK_MS;
 		else if (admit_load_elsewhere(u, now))
 			at = u->reported_at + ADMIT_REPORT_AGE_MS;
 		if (at < due)
@@ -756,6 +794,16 @@
 	return due;
 }
 
+/* Returns the expected time left of the running requests, and that of the waiting ones. */
+static double work_ms(const struct admit *a, const struct upstream *u, clk_ms now)
+{
+	double ms = admit_work(a, u, now).remaining_ms;
+
+	for (const struct waiting *w = u->queue.head; w; w = w->next)
+		ms += admit_cost(a, u, w->request.cost_class).ms;
+	return ms;
+}
+
 bool admit_load_of(const struct admit *a, uint64_t num, clk_ms now, struct admit_load *out)
 {
 	const struct upstream *u = upstream_find(a, num);
@@ -767,7 +815,11 @@
 		.slots = u->conf.slots,
 		.in_use = u->in_use,
 		.queued = u->queue.len,
+		.work_ms = work_ms(a, u, now),
+		.failing = failing_share(&u->failing, now),
 		.service_ms = admit_mean_service(a, u),
+		.slowness = u->mean_slowness,
+		.mixed = cost_is_mixed(&a->costs),
 		.utilization = u->utilization,
 		.limit = admit_is_limited(u, now) ? u->limit : 0,
 		.limit_age = now - u->limit_named_at,
@@ -775,6 +827,18 @@
 	return true;
 }
 
+double admit_work_ms(const struct admit *a, clk_ms now)
+{
+	const struct upstream *u;
+	double ms = 0;
+
+	for (u = a->upstreams; u; u = u->hh.next)
+		ms += work_ms(a, u, now);
+	for (const struct waiting *w = a->common.head; w; w = w->next)
+		ms += admit_expected_cost(a, w->request.cost_class);
+	return ms;
+}
+
 size_t admit_waiting_count(const struct admit *a)
 {
 	return HASH_COUNT(a->waiting);
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5354,7 +5354,7 @@
   (ProtobufCMessageInit) bc__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[14] =
 {
   {
     "id",
@@ -5464,6 +5464,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cost_class",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_samples",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "fingerprint",
     20,
@@ -5491,9 +5527,12 @@
 };
 static const unsigned bc__slot_ask__field_indices_by_name[] = {
   8,   /* field[8] = avoid */
-  10,   /* field[10] = caller_ms */
+  13,   /* field[13] = caller_ms */
+  9,   /* field[9] = cost_class */
+  10,   /* field[10] = cost_ms */
+  11,   /* field[11] = cost_samples */
   4,   /* field[4] = deadline_ms */
-  9,   /* field[9] = fingerprint */
+  12,   /* field[12] = fingerprint */
   6,   /* field[6] = heavy */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
@@ -5502,11 +5541,12 @@
   3,   /* field[3] = priority */
   5,   /* field[5] = target_ms */
 };
-static const ProtobufCIntRange bc__slot_ask__number_ranges[2 + 1] =
+static const ProtobufCIntRange bc__slot_ask__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 20, 9 },
-  { 0, 11 }
+  { 15, 9 },
+  { 20, 12 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bc__slot_ask__descriptor =
 {
@@ -5516,10 +5556,10 @@
   "Bc__SlotAsk",
   "bc",
   sizeof(Bc__SlotAsk),
-  11,
+  14,
   bc__slot_ask__field_descriptors,
   bc__slot_ask__field_indices_by_name,
-  2,  bc__slot_ask__number_ranges,
+  3,  bc__slot_ask__number_ranges,
   (ProtobufCMessageInit) bc__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -6218,7 +6258,7 @@
   (ProtobufCMessageInit) bc__key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[4] =
 {
   {
     "num",
@@ -6256,16 +6296,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slowness",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__UpstreamSpeed, slowness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__upstream_speed__field_indices_by_name[] = {
   2,   /* field[2] = limit */
   0,   /* field[0] = num */
   1,   /* field[1] = service_ms */
+  3,   /* field[3] = slowness */
 };
-static const ProtobufCIntRange bc__upstream_speed__number_ranges[1 + 1] =
+static const ProtobufCIntRange bc__upstream_speed__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 15, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bc__upstream_speed__descriptor =
 {
@@ -6275,10 +6329,10 @@
   "Bc__UpstreamSpeed",
   "bc",
   sizeof(Bc__UpstreamSpeed),
-  3,
+  4,
   bc__upstream_speed__field_descriptors,
   bc__upstream_speed__field_indices_by_name,
-  1,  bc__upstream_speed__number_ranges,
+  2,  bc__upstream_speed__number_ranges,
   (ProtobufCMessageInit) bc__upstream_speed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -11,6 +11,7 @@
 #include "base/mutant.h"
 #include "base/rnd.h"
 #include "connection/upconn.h"
+#include "cost/cost.h"
 #include "process/stopping.h"
 #include "request/crash.h"
 
@@ -143,6 +144,14 @@
 	return pool && pool->keyed ? slots_owner(pool, f->key) : 0;
 }
 
+/* Returns the cost that this gateway expects of the request, 0 if it asked for no slot. */
+static double predicted_ms(const struct forward *f)
+{
+	const struct slot_ask *a = &f->slot_request;
+
+	return a->pool ? admit_expected_cost(a->pool->admit, a->slot_request.cost_class) : 0;
+}
+
 /* Logs one line per request with its outcome and the data behind the decisions. */
 static void log_outcome(const struct forward *f, int status, const char *outcome)
 {
@@ -152,7 +161,8 @@
 		  "%s status=%d why=%s route=%.*s service=%.*s key=%u owner=%016llx upstream=%s "
 		  "sends=%u "
 		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld "
-		  "elapsed_ms=%lld late=%d config=%llu",
+		  "elapsed_ms=%lld late=%d config=%llu "
+		  "cost_ms=%.0f",
 		  outcome, status, f->why ? f->why : "-", f->route ? (int)f->route->name.len : 1,
 		  f->route ? f->route->name.ptr : "-", f->service ? (int)f->service->name.len : 1,
 		  f->service ? f->service->name.ptr : "-", f->key,
@@ -161,7 +171,7 @@
 		  (unsigned long long)f->controller, f->ahead, (long long)f->waited,
 		  (long long)(now - f->req->arrived), (long long)(f->deadline - now),
 		  (long long)f->elapsed, f->late,
-		  f->topo ? (unsigned long long)f->topo->version : 0ULL);
+		  f->topo ? (unsigned long long)f->topo->version : 0ULL, predicted_ms(f));
 }
 
 /* ---- answers -------------------------------------------------------------------------------- */
@@ -769,6 +779,8 @@
 	f->slot_request.slot_request.caller_deadline = f->caller_deadline;
 	f->slot_request.slot_request.place = (uint32_t)str_hash(l->env.settings->failure_domain);
 	f->slot_request.slot_request.heavy = f->route->kind == TOPO_UPLOAD;
+	f->slot_request.slot_request.cost_class =
+		cost_class(f->route->name, f->req->method, f->req->body.len);
 	slots_request(l->env.slots, &f->slot_request, pool);
 }
 
