--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -6,11 +6,15 @@
 #define PROCESS_ADMIT_PRIV_H
 
 #include "base/hash.h"
+#include "cost/cost.h"
+#include "cost/failing.h"
+#include "cost/work.h"
 #include "process/admit.h"
 #include "queue/backlog.h"
 #include "queue/order.h"
 #include "queue/returns.h"
 #include "queue/room.h"
+#include "queue/shedding.h"
 
 /* Slowness of an upstream before its first load report, in per cent of the usual service time. */
 #define ADMIT_USUAL_SLOWNESS 100.0
@@ -55,6 +59,11 @@
 	uint64_t node; /* gateway that uses the slot */
 	struct upstream *upstream;
 	clk_ms free_at; /* freed at this time if the slot has not been returned */
+	clk_ms granted_at;
+	uint32_t cost_class;
+	struct cost_estimate cost; /* at this upstream */
+	struct slot *prev;	   /* slots of the same upstream */
+	struct slot *next;
 	UT_hash_handle hh;
 };
 
@@ -71,10 +80,15 @@
 	clk_ms utilization_at; /* last update of `utilization` */
 	clk_ms paused_until;   /* no grants before this time, after a failure */
 	clk_ms pause;	       /* length of the last pause, 0 after a success */
+	struct shedding shedding;
 	double limit;	       /* requests per second that it takes, 0: it named none */
 	clk_ms limit_named_at; /* last answer that named `limit` */
 	double tokens;	       /* of the bucket that limits its request rate, at `tokens_at` */
 	clk_ms tokens_at;
+	struct slot *granted; /* slots in use */
+	struct failing failing;
+	struct work_arrivals arrivals; /* keyed services: requests for keys that it owns */
+	clk_ms held_at;	    /* last time at which its last slot was left to urgent requests */
 	struct queue queue; /* keyed services: requests for keys that this upstream owns */
 	UT_hash_handle hh;
 };
@@ -93,12 +107,14 @@
 	uint64_t next_slot;
 	uint64_t next_seq;
 	double service_ms; /* mean service time of an upstream with the usual slowness */
+	struct cost_table costs;
 	struct upstream *upstreams;
 	struct slot *slots;
 	struct waiting *waiting;
 	struct queue common;	/* requests of a service that is not keyed, for any upstream */
 	struct queue ownerless; /* requests for keys that have no owner */
 	struct returns *returns;
+	struct shedding shedding;
 	struct refusal *refusals;
 	struct refusal **refusals_end;
 };
@@ -134,12 +150,12 @@
 /* Returns the slots of the upstream, or of all if NULL, as far as their rate allows their use. */
 double admit_slots(const struct admit *a, const struct upstream *only, clk_ms now);
 /* Whether an answer is not likely to arrive by the request's target even without a wait. */
-bool admit_is_late(const struct admit *a, const struct upstream *only, clk_ms now,
-		   const struct admit_request *request);
-/*
- * Returns the longest wait after which the answer is still likely to arrive in time: by the target,
- * or by the deadline if the request is late.
- */
+bool admit_misses_target(const struct admit *a, const struct upstream *only, clk_ms now,
+			 const struct admit_request *request);
+/* Returns the longest wait of a request that misses its target. */
+clk_ms admit_late_budget(const struct admit *a, const struct upstream *only, clk_ms now,
+			 const struct admit_request *request);
+/* Returns the longest wait after which the answer is still likely to arrive in time. */
 clk_ms admit_wait_budget(const struct admit *a, const struct upstream *only, clk_ms now,
 			 const struct admit_request *request);
 /* Stops grants to the upstream for a while after a failure. */
@@ -149,8 +165,22 @@
 /* Stores the limit that an answer names, or its end. Returns true if it begins or is lower now. */
 bool admit_apply_limit(const struct admit *a, struct upstream *u, clk_ms now,
 		       const struct admit_report *r);
-/* Updates the mean service time and the upstream's mean slowness from one answered request. */
-void admit_update_service_time(struct admit *a, struct upstream *u, clk_ms service,
-			       const struct admit_report *r);
+/* Updates the mean service time, that of the class and the upstream's mean slowness. */
+void admit_update_service_time(struct admit *a, struct upstream *u, uint32_t cost_class,
+			       clk_ms service, const struct admit_report *r);
+/* Returns what a request of the class is expected to cost at `u`, at any upstream if NULL. */
+struct cost_estimate admit_cost(const struct admit *a, const struct upstream *u,
+				uint32_t cost_class);
+/* Returns the work of the running requests of an upstream. */
+struct work admit_work(const struct admit *a, const struct upstream *u, clk_ms now);
+/* Notes a request for a key of the upstream; `budget` is the time that it may wait. */
+void admit_note_arrival(struct admit *a, struct upstream *u, clk_ms now,
+			const struct admit_request *request, clk_ms budget);
+/*
+ * Load pattern: long requests that may wait and short urgent ones for keys of the same upstream.
+ * Whether the waiting request should leave the last free slot to more urgent requests for now.
+ */
+bool admit_leaves_slot(const struct admit *a, struct upstream *u, clk_ms now,
+		       const struct waiting *w);
 
 #endif
--- a/src/process/slots.h
+++ b/src/process/slots.h
@@ -47,7 +47,10 @@
 	void (*on_answer_time)(void *data, uint64_t node, clk_ms ms);
 	/* The controller `node` neither confirmed nor decided a slot request in time. */
 	void (*on_no_answer)(void *data, uint64_t node);
-	/* Called for each slot request that this gateway decides, if the service is keyed. */
+	/*
+	 * Called for each slot request that this gateway decides, if the service is keyed; if the
+	 * costs of its requests differ, once for each mean cost of the service, on average.
+	 */
 	void (*on_key)(void *data, const char *service, uint32_t key);
 };
 
@@ -59,6 +62,9 @@
 	bool keyed;
 	bool dispatching; /* decisions are being delivered: nested calls of dispatch() return */
 	bool known;	  /* the fleet has upstreams there, usable or not */
+	double work_ms;	  /* part of the gauge of expected work, at `work_at` */
+	clk_ms work_at;
+	double owed_cost; /* mean costs of requests that on_key() has not been called for yet */
 	bool reroute_due; /* owners of keys changed, the timer moves waiting requests */
 	struct slots *slots;
 	struct admit *admit;
@@ -72,6 +78,7 @@
 	uint64_t controller; /* gateway that granted the slot */
 	uint64_t slot;
 	uint64_t upstream;
+	uint32_t cost_class; /* as in the slot request */
 };
 
 /* Slot request of this gateway (wire message SlotAsk); the caller owns the memory. */
@@ -113,8 +120,8 @@
 				   const struct slot_permit *permit),
 			void *data);
 /*
- * Requests a slot. The caller sets all of `a->slot_request` but node, id and unlimited_only. The
- * callback may be called before this function returns.
+ * Requests a slot. The caller sets all of `a->slot_request` but node, id, unlimited_only and what
+ * this gateway has learned of the cost. The callback may be called before this function returns.
  */
 void slots_request(struct slots *s, struct slot_ask *a, struct slot_pool *pool);
 /* Withdraws a pending request; its callback is not called. */
@@ -130,7 +137,12 @@
 /* What a controller knows of an upstream that the shard manager plans with. */
 struct slots_speed {
 	clk_ms service_ms; /* mean service time, 0 if unknown */
-	double limit;	   /* requests per second that it takes by a recent answer, 0: none named */
+	/*
+	 * Mean slowness in per cent if the costs of the service's requests differ, else 0. The mean
+	 * service time then depends on which requests the sender happened to see.
+	 */
+	uint32_t slowness;
+	double limit; /* requests per second that it takes by a recent answer, 0: none named */
 };
 
 /* Returns the speed of an upstream of a keyed service. */
