configcheck: a configuration is checked before it is sent (bamboocroft-ctl check)

Operators learned from the gateways' logs that a configuration was refused, and not at all that a route could never match or that its limits contradict each other.

bamboocroft-ctl check FILE decodes with the gateway's own decoder, lists 31 kinds of findings (entries that never match, limits that make each other void, home regions that do not exist or have no upstream) and the changes from the version in force, each with the callers that it concerns. The version in force comes from a file, or with the registered upstreams from the store, which is only read. Text and JSON; exit code 0 clean, 1 findings, 2 a gateway would refuse it, 3 unusable input. src/configcheck decides without I/O.

Three constants moved to headers, so that the check names the same limits: the shortest time left for a further attempt, the largest request body that is sent, the share of memory for bodies. Values unchanged.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 SAN := -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=undefined
 
 LIB_SRC := $(sort $(wildcard src/base/*.c src/process/*.c src/version/*.c src/connection/*.c \
-	src/request/*.c src/tool/*.c src/proto/*.c platform/*.c))
+	src/request/*.c src/configcheck/*.c src/tool/*.c src/proto/*.c platform/*.c))
 BIN_SRC := $(wildcard src/bin/*.c)
 STANDIN_SRC := $(wildcard standin/standin_*.c)
 STANDIN_LIB := $(filter-out $(STANDIN_SRC),$(wildcard standin/*.c))
--- a/src/bin/ctl.c
+++ b/src/bin/ctl.c
@@ -1,7 +1,7 @@
 /*
  * bamboocroft-ctl: operators' command line for status, configuration, plans, confirmations and
- * events. It calls the operators' port of any router. The only file it writes is the plan file that
- * --out names.
+ * events. It calls the operators' port of any router; `check` reads files, and the store of a
+ * platform, instead. The only file it writes is the plan file that --out names.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -10,8 +10,12 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/log.h"
+#include "base/mutant.h"
 #include "base/opt.h"
+#include "platform/plat.h"
 #include "tool/ctlcall.h"
+#include "tool/ctlcheck.h"
 #include "tool/ctlprint.h"
 
 #define MAX_FILE_BYTES (8 * 1024 * 1024) /* of a configuration or plan file */
@@ -39,6 +43,9 @@
 	bool wait;
 	uint64_t wait_s;
 	bool yes;
+	const char *in_force;
+	const char *settings;
+	bool store;
 };
 
 /* Offset of an option's value in struct options. */
@@ -69,6 +76,12 @@
 	{NULL, "wait-seconds", OPT_NUMBER, "N", "confirm --wait: give up after this time (120)",
 	 OFFSET(wait_s), 86400},
 	{"y", "yes", OPT_FLAG, NULL, "lift: confirm the plan at once", OFFSET(yes), 0},
+	{NULL, "in-force", OPT_STRING, "FILE", "check: configuration in force, to compare with",
+	 OFFSET(in_force), 0},
+	{NULL, "settings", OPT_STRING, "FILE", "check: settings of a gateway", OFFSET(settings), 0},
+	{NULL, "store", OPT_FLAG, NULL,
+	 "check: compare with the configuration and upstreams in the store of --settings",
+	 OFFSET(store), 0},
 	{0},
 };
 
@@ -84,9 +97,14 @@
 	"  confirm --plan ID --intent TEXT --from VERSION [--file FILE]\n"
 	"  lift FINGERPRINT [--yes]   plan to serve a quarantined request again\n"
 	"  events [--since HLC]       events of a router, as JSON lines\n"
+	"  check FILE [--in-force FILE] [--settings FILE [--store]]\n"
+	"                             configuration of gateways on a platform, before it is sent;\n"
+	"                             only reads; needs no router\n"
 	"\n"
 	"Exit code: 0 done, 2 wrong input or refused plan, 3 somebody else changed the same,\n"
-	"4 no router can do it now, 5 wrong credential, 1 other or unknown outcome.\n";
+	"4 no router can do it now, 5 wrong credential, 1 other or unknown outcome.\n"
+	"Exit code of check: 0 clean, 1 findings, 2 gateways would refuse the configuration,\n"
+	"3 a file or the store cannot be read.\n";
 
 static const struct opt_program program = {
 	.name = "bamboocroft-ctl",
@@ -611,7 +629,8 @@
 		return &commands[i];
 	}
 	err_set(&ctl->err, ERR_INPUT,
-		"'%.64s' is not a command; use status, show, plan, confirm, lift or events", name);
+		"'%.64s' is not a command; use status, show, plan, confirm, lift, events or check",
+		name);
 	return NULL;
 }
 
@@ -644,6 +663,31 @@
 	return ok;
 }
 
+static bool is_check(const struct opt_list *operands)
+{
+	return operands->n && strcmp(operands->items[0], "check") == 0;
+}
+
+/* Returns the exit code of `check`. */
+static int run_check(const struct options *o, const struct opt_list *operands)
+{
+	struct ctlcheck_options check = {
+		.platform = &plat,
+		.in_force = o->in_force,
+		.settings = o->settings,
+		.store = o->store,
+		.json = o->json,
+	};
+
+	if (operands->n != 2) {
+		fputs("bamboocroft-ctl: check takes one configuration; name its file\n", stderr);
+		return CTLCHECK_UNUSABLE;
+	}
+	check.file = operands->items[1];
+	log_setup("bamboocroft-ctl", LOG_WARN);
+	return (int)ctlcheck(&check, stdout);
+}
+
 int main(int argc, char **argv)
 {
 	const char *user = getenv("USER");
@@ -652,8 +696,20 @@
 	struct opt_list operands = {0};
 	enum opt_result parsed =
 		opt_parse(&program, argc, argv, &ctl.o, &operands, stdout, &ctl.err);
-	bool ok = parsed == OPT_INFO_PRINTED || (parsed == OPT_PARSED && run(&ctl, &operands));
-
+	bool ok;
+	int code;
+
+#ifdef BC_MUTANTS
+	/* Test builds only: a scripted test names the mechanism to disable. */
+	mutant_active = getenv("BAMBOOCROFT_MUTANT");
+#endif
+	if (parsed == OPT_PARSED && is_check(&operands)) {
+		code = run_check(&ctl.o, &operands);
+		opt_list_free(&operands);
+		opt_list_free(&ctl.o.routers);
+		return code;
+	}
+	ok = parsed == OPT_INFO_PRINTED || (parsed == OPT_PARSED && run(&ctl, &operands));
 	opt_list_free(&operands);
 	opt_list_free(&ctl.o.routers);
 	if (ok)
--- a/src/connection/upconn.c
+++ b/src/connection/upconn.c
@@ -14,8 +14,6 @@
 #include "base/log.h"
 #include "base/mutant.h"
 
-#define MAX_REQUEST_BODY_BYTES (32u * 1024 * 1024)
-
 /*
  * Upper bound of the fixed text that build_head() adds: the request line's and host's separators,
  * content-length with its value, and line ends. Names and values are counted apart.
@@ -347,7 +345,7 @@
 	}
 	if (head_bytes(req) > UPCONN_MAX_HEAD_BYTES)
 		return "its head is over 64 KiB";
-	if (req->body.len > MAX_REQUEST_BODY_BYTES)
+	if (req->body.len > UPCONN_MAX_REQUEST_BYTES)
 		return "its body is over 32 MiB";
 	return NULL;
 }
--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -23,6 +23,7 @@
 #include "connection/blocks.h"
 
 #define UPCONN_MAX_ANSWER_BYTES (32u * 1024 * 1024)
+#define UPCONN_MAX_REQUEST_BYTES (32u * 1024 * 1024) /* of a request body */
 
 struct upconn_header {
 	struct str name; /* lower case */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -28,11 +28,6 @@
 #define STOP_WRITE_MARGIN_MS 150
 /* Time before the exit at which requests not yet sent to an upstream are answered as refused. */
 #define STOP_REFUSE_MS 300
-/*
- * All request bodies together may take 1/3 of the process's memory limit, since sending the bodies
- * to upstreams takes memory, too.
- */
-#define BODY_MEMORY_DIVISOR 3
 /* All answers of upstreams together may take 1/3 of the memory limit. */
 #define ANSWER_MEMORY_DIVISOR 3
 /* Callers may take 1/2 of the process's sockets; upstreams, the store and gateways need others. */
@@ -287,7 +282,7 @@
 	current = (struct ingress_limits){
 		.max_header_bytes = l->max_header_bytes,
 		.max_body_bytes = l->max_body_bytes,
-		.max_total_body_bytes = g->settings.memory_bytes / BODY_MEMORY_DIVISOR,
+		.max_total_body_bytes = g->settings.memory_bytes / GATEWAY_BODY_MEMORY_DIVISOR,
 		.header_timeout = l->header_timeout,
 		.idle_timeout = l->idle_timeout,
 		.answers = &g->answers,
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -13,6 +13,12 @@
 #include "base/err.h"
 #include "process/platform.h"
 
+/*
+ * All request bodies together may take 1/3 of the process's memory limit, since sending the bodies
+ * to upstreams takes memory, too.
+ */
+#define GATEWAY_BODY_MEMORY_DIVISOR 3
+
 struct gateway;
 
 struct gateway_options {
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -23,8 +23,6 @@
 #define SILENCE_LIMIT_MS 1500
 /* The upstream stops work at the deadline; its answer may take this much longer to arrive. */
 #define DEADLINE_GRACE_MS 120
-/* A request with less time left to its deadline is not retried. */
-#define RETRY_MIN_LEFT_MS 150
 /* Most grants that a request may return unused because the upstream was just removed. */
 #define MAX_UNUSED_GRANTS 4
 /* Retry-After when the time of recovery is unknown. */
@@ -256,7 +254,7 @@
 static bool try_reserve_retry(struct forward *f)
 {
 	if (f->caller_left || f->sends >= f->route->max_attempts ||
-	    f->deadline - clk_now() < RETRY_MIN_LEFT_MS)
+	    f->deadline - clk_now() < FORWARD_RETRY_MIN_LEFT_MS)
 		return false;
 	if (!f->list->env.reserve_retry(f->list->env.data, f->service->name)) {
 		ctr_inc(&ctr_budget);
@@ -329,7 +327,7 @@
 	}
 	/* An attempt that did not reach the upstream does not count against the retry budget. */
 	if (!arrived && f->sends < f->route->max_attempts &&
-	    f->deadline - clk_now() >= RETRY_MIN_LEFT_MS &&
+	    f->deadline - clk_now() >= FORWARD_RETRY_MIN_LEFT_MS &&
 	    ++f->unused_grants < MAX_UNUSED_GRANTS) {
 		ctr_inc(&ctr_uncharged);
 		request_slot(f);
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -18,6 +18,9 @@
 #include "process/split.h"
 #include "version/topo.h"
 
+/* A request with less time left to its deadline is not retried. */
+#define FORWARD_RETRY_MIN_LEFT_MS 150
+
 struct forward_env {
 	h2o_loop_t *loop;
 	const struct platform *platform;
