configcheck: members of a configuration that gateways do not read are named

A mistyped optional member ("max-attempt", "allowed-region") is left unread, and its default comes into force without a word: attempts 1, all regions. bamboocroft-ctl check names each such member with its place. Gateways still leave unknown members alone.

--- a/src/configcheck/topocheck.c
+++ b/src/configcheck/topocheck.c
@@ -243,6 +243,13 @@
 			     env->row_bytes);
 }
 
+void topocheck_unread(struct str place, struct str name, struct findings *out)
+{
+	findings_add(out, "member-unread", place.len ? place : STR_LIT("configuration"),
+		     "gateways do not read \"%.*s\"; a member that was meant has its default",
+		     STR_ARG(name));
+}
+
 void topocheck_version(const struct topo *t, const struct topo *in_force, bool differs,
 		       struct findings *out)
 {
--- a/src/configcheck/topocheck.h
+++ b/src/configcheck/topocheck.h
@@ -43,6 +43,9 @@
 void topocheck_version(const struct topo *t, const struct topo *in_force, bool differs,
 		       struct findings *out);
 
+/* Finding about a member that gateways do not read; `place`: the entry that has it, or empty. */
+void topocheck_unread(struct str place, struct str name, struct findings *out);
+
 /* Internal: limits of routes, services and callers; topocheck() calls it. */
 void topocheck_limits(const struct topo *t, const struct topocheck_env *env, struct findings *out);
 /* Internal: names an entry in findings. Strings live in `a`. */
--- a/src/process/platform.h
+++ b/src/process/platform.h
@@ -42,6 +42,9 @@
 	struct str handover; /* state from the former owner, may be empty */
 };
 
+/* `place`: the entry that has the member, empty for the configuration itself. */
+typedef void (*platform_unread_cb)(void *data, struct str place, struct str name);
+
 struct platform {
 	const char *name;
 	struct platform_headers headers;
@@ -62,6 +65,8 @@
 	bool (*is_evacuation)(struct str key, struct str *failure_domain);
 	/* Parses a configuration; returns NULL and sets `err` if it is invalid. */
 	struct topo *(*config)(struct str value, struct err *err);
+	/* Calls `cb` with each member of a valid configuration that config() does not read. */
+	void (*config_unread)(struct str value, platform_unread_cb cb, void *data);
 	/*
 	 * Parses the registration of an upstream; sets `err` and returns false if it is invalid.
 	 * Strings of `out` live in `a`.
--- a/src/tool/ctlcheck.c
+++ b/src/tool/ctlcheck.c
@@ -70,6 +70,11 @@
 	return in->in_force || err_prefix(err, "configuration in force");
 }
 
+static void on_unread(void *data, struct str place, struct str name)
+{
+	topocheck_unread(place, name, data);
+}
+
 /* Lists the regions of the settings, each once or more. */
 static struct str *list_regions(struct inputs *in)
 {
@@ -81,7 +86,8 @@
 	return regions;
 }
 
-static void check_topo(struct inputs *in, struct ctlcheck_result *r)
+static void check_topo(const struct platform *platform, struct inputs *in,
+		       struct ctlcheck_result *r)
 {
 	struct topocheck_env env = {
 		.upstreams_known = in->has_store,
@@ -98,6 +104,7 @@
 		env.body_memory_bytes = in->settings.memory_bytes / GATEWAY_BODY_MEMORY_DIVISOR;
 		env.row_bytes = in->settings.row_bytes;
 	}
+	platform->config_unread(in->text, on_unread, &r->findings);
 	topocheck(in->topo, &env, &r->findings);
 	r->has_version = true;
 	r->version = in->topo->version;
@@ -120,7 +127,7 @@
 	} else {
 		in.topo = o->platform->config(in.text, &r.err);
 		if (in.topo)
-			check_topo(&in, &r);
+			check_topo(o->platform, &in, &r);
 		else
 			r.status = CTLCHECK_REFUSED;
 	}
--- a/test/scripts/configcheck.sh
+++ b/test/scripts/configcheck.sh
@@ -34,6 +34,8 @@
 }
 
 run same.json
+sed 's/"max-attempts"/"max-attempt"/' same.json >typo.json
+run typo.json
 run same.json --in-force now.json
 run older.json --in-force now.json
 run new.json --in-force now.json
--- a/test/unit_topocheck.c
+++ b/test/unit_topocheck.c
@@ -302,6 +302,44 @@
 }
 END_TEST
 
+static void add_unread(void *data, struct str place, struct str name)
+{
+	topocheck_unread(place, name, data);
+}
+
+/* Guards against a mistyped member, whose default comes into force without a word. */
+START_TEST(members_that_gateways_do_not_read_are_found)
+{
+	static const char text[] =
+		"{\"version\":\"5\",\"comment\":1,\"services\":[" SERVICES
+		",{\"name\":\"c\",\"shard-enable\":true}],"
+		"\"limits\":{\"max-body\":1},\"virtual-hosts\":[{\"host\":\"a\",\"path-routes\":["
+		"{\"allowed-regions\":[],\"allowed-region\":[],\"traffic-split\":[{\"weigth\":1}]}]"
+		","
+		"\"paths\":[]}],\"tenants\":[{\"key\":[]}]}";
+	static const char *const places[] = {
+		"configuration",
+		"services[2]",
+		"limits",
+		"virtual-hosts[0]",
+		"virtual-hosts[0].path-routes[0]",
+		"virtual-hosts[0].path-routes[0].traffic-split[0]",
+		"tenants[0]",
+	};
+	struct findings f = {0};
+
+	plat_config_unread(str_from(text), add_unread, &f);
+	for (size_t i = 0; i < f.n && i < sizeof(places) / sizeof(places[0]); i++)
+		ck_assert_msg(str_eq_cstr(f.items[i].place, places[i]), "%.*s in place of %s",
+			      STR_ARG(f.items[i].place), places[i]);
+	ck_assert_uint_eq(count_of(&f, "member-unread", sizeof(places) / sizeof(places[0])), f.n);
+	findings_free(&f);
+	plat_config_unread(STR_LIT("[]"), add_unread, &f);
+	plat_config_unread(STR_LIT("{\"services\":7,\"limits\":[]}"), add_unread, &f);
+	ck_assert_uint_eq(f.n, 0);
+}
+END_TEST
+
 /* ---- differences ---------------------------------------------------------------------------- */
 
 /*
@@ -487,13 +525,11 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"topocheck_host_case",	  "topocheck_no_shadow",
-	"topocheck_any_home",	  "topocheck_any_target",
-	"topocheck_any_attempts", "topocheck_any_cold",
-	"topocheck_any_body",	  "topocheck_any_row",
-	"topocheck_any_version",  "topodiff_never_moved",
-	"topodiff_no_homes",	  "topodiff_no_shares",
-	"topodiff_no_limits",	  NULL,
+	"topocheck_host_case",	"topocheck_no_shadow",	  "topocheck_any_home",
+	"topocheck_any_target", "topocheck_any_attempts", "topocheck_any_cold",
+	"topocheck_any_body",	"topocheck_any_row",	  "topocheck_any_version",
+	"topodiff_never_moved", "topodiff_no_homes",	  "topodiff_no_shares",
+	"topodiff_no_limits",	"config_any_member",	  NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -506,6 +542,7 @@
 	tcase_add_test(tc, limits_of_routes_that_contradict_each_other_are_found);
 	tcase_add_test(tc, limits_of_services_and_callers_are_checked);
 	tcase_add_test(tc, version_is_compared_with_the_one_in_force);
+	tcase_add_test(tc, members_that_gateways_do_not_read_are_found);
 	tcase_add_test(tc, order_of_entries_is_no_difference);
 	tcase_add_test(tc, added_and_removed_routes_name_who_takes_the_requests);
 	tcase_add_test(tc, moved_routes_are_told_apart_from_new_ones);
