--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -19,6 +19,9 @@
 #include "shared/share.h"
 #include "version/topo.h"
 
+/* A request with less time left to its deadline is not retried. */
+#define FORWARD_RETRY_MIN_LEFT_MS 150
+
 /* A request that waits for a part of its account's allowance; the request owns the memory. */
 struct forward_waiter {
 	uint64_t limit; /* 0: it does not wait */
