--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -238,6 +238,7 @@
 		.slots = g->slots,
 		.split = g->split,
 		.crashes = g->crashes,
+		.accounts = g->accounts,
 		.answers = &g->answers,
 		.data = g,
 		.topo = current_topo,
@@ -327,6 +328,7 @@
 
 static void on_metrics_request(void *data, struct ingress_request *req)
 {
+	const struct gateway *g = data;
 	char *text = NULL;
 	size_t len = 0;
 	FILE *f = open_memstream(&text, &len);
@@ -337,6 +339,7 @@
 	}
 	ctr_render(f);
 	hist_render(f);
+	account_stats_render(g->accounts, f);
 	fclose(f);
 	reply(req, 200, (struct str){text, len});
 	free(text);
@@ -540,6 +543,7 @@
 	g->slots = slots_create(&slots_env);
 	g->split = split_create(g->node);
 	g->crashes = quarantine_create(CRASH_WINDOW_MS);
+	g->accounts = account_stats_create();
 	env = forward_env(g);
 	g->forwards = forward_list_create(&env);
 	g->meta = g->platform->store->open(g->loop, g->settings.store.ip, g->settings.store.port,
@@ -604,6 +608,7 @@
 	ingress_close(g->callers);
 	forward_list_destroy(g->forwards);
 	gateway_limits_close(g);
+	account_stats_destroy(g->accounts);
 	ingress_destroy(g->callers);
 	ingress_destroy(g->ready);
 	ingress_destroy(g->metrics);
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -169,6 +169,7 @@
 	struct split *split;
 	struct quarantine *crashes; /* crashed upstreams, counted by request fingerprint */
 	struct forward_list *forwards;
+	struct account_stats *accounts;
 	struct gateway_limits *limits; /* NULL until a configuration has client accounts */
 	struct answer_memory answers;  /* of upstreams, read and being written */
 
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -161,6 +161,8 @@
 {
 	clk_ms now = clk_now();
 
+	if (f->account.check.account)
+		account_stats_note(f->list->env.accounts, f->account.check.account->name, status);
 	log_write(&log, LOG_INFO, f->request_id,
 		  "%s status=%d why=%s route=%.*s service=%.*s key=%u owner=%016llx upstream=%s "
 		  "sends=%u "
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -10,6 +10,7 @@
 
 #include <h2o.h>
 
+#include "accounts/account_stats.h"
 #include "connection/ingress.h"
 #include "process/fleet.h"
 #include "process/platform.h"
@@ -37,7 +38,8 @@
 	struct fleet *fleet;
 	struct slots *slots;
 	struct split *split;
-	struct quarantine *crashes;    /* crash counts by request fingerprint */
+	struct quarantine *crashes; /* crash counts by request fingerprint */
+	struct account_stats *accounts;
 	struct answer_memory *answers; /* limits the answers being read */
 	void *data;
 	/* Returns the configuration in force, NULL before the first one. */
--- a/test/scripts/accounts.sh
+++ b/test/scripts/accounts.sh
@@ -1,9 +1,9 @@
 #!/bin/bash
 # Two gateways with client accounts: which credentials are let in, what the upstream sees of them,
 # and how a credential that is withdrawn ends, also for a request that waits and on a kept
-# connection. Guards against a request that runs without a right, for another account, or with its
+# connection; the allowance of an account over both gateways. Guards against a request that runs without a right, for another account, or with its
 # credential in it, and against a credential in a log.
-# mutants: forward_pass_credential forward_pass_account forward_keep_withdrawn account_all_exempt account_first_credential
+# mutants: forward_pass_credential forward_pass_account forward_keep_withdrawn account_all_exempt account_first_credential share_no_limit
 # shellcheck source=test/scripts/gateway_lib.sh
 . "$(dirname "$0")/gateway_lib.sh"
 begin
@@ -119,10 +119,63 @@
 ask 2 /read/1 -H "x-credential: secret-two"
 ask 2 /read/1 -H "x-credential: secret-one"
 
+echo "-- an allowance over both gateways"
+put_row op config "$(config 00000006 '"tenants":[{"name":"one","api-keys":["secret-one"],"rate-per-s":10,"burst":10},{"name":"two","api-keys":["secret-three"]}],')"
+for i in 1 2; do wait_until grep -q 'configuration 6 in force' "$WORK/gateway-$i.log"; done
+sleep 2 # the bucket fills
+# flood SECONDS RATE: sends requests of account one through both gateways in turn; prints how many
+# got each status, and whether each 429 says when to come back.
+flood() {
+	python3 - "$1" "$2" "$FRONT1" "$FRONT2" <<'END'
+import collections, http.client, sys, threading, time
+seconds, rate, fronts = float(sys.argv[1]), float(sys.argv[2]), sys.argv[3:]
+counts, lock, told = collections.Counter(), threading.Lock(), []
+def ask(n):
+    conn = http.client.HTTPConnection(fronts[n % 2], timeout=20)
+    conn.request("GET", "/read/1", headers={"host": "h.example", "x-credential": "secret-one",
+                 "x-attempt-id": "f%d-%f" % (n, time.time())})
+    answer = conn.getresponse()
+    answer.read()
+    with lock:
+        counts[answer.status] += 1
+        if answer.status == 429:
+            told.append(answer.getheader("retry-after"))
+start, n, threads = time.time(), 0, []
+while time.time() - start < seconds:
+    threads.append(threading.Thread(target=ask, args=(n,)))
+    threads[-1].start()
+    n += 1
+    time.sleep(max(0, start + n / rate - time.time()))
+for t in threads:
+    t.join()
+print(counts[200], counts[429], sum(counts.values()) - counts[200] - counts[429],
+      all(t and 0.2 <= float(t) <= 5 for t in told))
+END
+}
+read -r served over other _ <<<"$(flood 4 6)"
+echo "within it: $([ "$served" -ge 20 ] && [ "$over" -le 1 ] && [ "$other" = 0 ] && echo served || echo "$served served, $over over, $other others")"
+read -r served over other told <<<"$(flood 4 60)"
+# (10 x 5 + 10) x 1.1 + 20 in a window of 5 s
+echo "beyond it: $([ "$served" -le 86 ] && [ "$served" -ge 35 ] && [ "$over" -ge 100 ] && [ "$other" = 0 ] && echo bounded || echo "$served served, $over over, $other others")"
+echo "a time to come back: $told"
+echo "-- the other account has no limit"
+ask 1 /read/1 -H "x-credential: secret-three"
+echo "-- one gateway alone, after the other one was killed"
+kill -KILL "${PIDS[gateway-2]}"
+await_exit gateway-2
+sleep 6
+served=0
+for i in 1 2 3 4 5 6 7 8 9 10; do
+	! status_is 200 1 /read/1 -H "x-credential: secret-one" || served=$((served + 1))
+	sleep 0.15
+done
+echo "within the allowance: $([ "$served" -ge 9 ] && echo served || echo "$served of 10 served")"
+
 echo "-- the log names accounts and reasons, and no credential"
 sleep 0.3
 grep -ho 'status=[0-9]* why=[^=]* route=read' "$WORK"/gateway-?.log | grep status=401 | sort -u
 grep -ho 'account=[a-z-]*' "$WORK"/gateway-?.log | sort -u
 grep -l 'secret-' "$WORK"/gateway-?.log
 curl -s "http://$METRICS1/metrics" | grep -c secret-
+curl -s "http://$METRICS1/metrics" | sed -n 's/^\(bamboocroft_account_requests_total.*\) [0-9]*$/\1/p' | sort
 finish test/scripts/accounts.expected
--- a/test/unit_account.c
+++ b/test/unit_account.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "accounts/account.h"
+#include "accounts/account_stats.h"
 #include "base/rnd.h"
 #include "platform/plat.h"
 #include "test/unit.h"
@@ -218,6 +219,41 @@
 }
 END_TEST
 
+/* Guards against metrics that grow with the number of accounts, and against broken labels. */
+START_TEST(metrics_by_account_are_bounded)
+{
+	struct account_stats *s = account_stats_create();
+	char *text = NULL;
+	size_t len = 0;
+	size_t lines = 0;
+	FILE *out = open_memstream(&text, &len);
+
+	account_stats_render(s, out);
+	fflush(out);
+	ck_assert_uint_eq(len, 0);
+	account_stats_note(s, STR_LIT("a\"b\\c"), 200);
+	account_stats_note(s, STR_LIT("a\"b\\c"), 404);
+	account_stats_note(s, STR_LIT("a\"b\\c"), 429);
+	for (int i = 0; i < 5000; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "n%d", i);
+		account_stats_note(s, str_from(name), i % 2 ? 503 : 504);
+	}
+	account_stats_render(s, out);
+	fclose(out);
+	ck_assert(strstr(text, "{account=\"a\\\"b\\\\c\",outcome=\"answered\"} 2\n"));
+	ck_assert(strstr(text, "{account=\"a\\\"b\\\\c\",outcome=\"over_allowance\"} 1\n"));
+	ck_assert(strstr(text, "{account=\"n1\",outcome=\"refused\"} 1\n"));
+	ck_assert(strstr(text, "{account=\"\",outcome=\"failed\"}"));
+	for (const char *c = text; *c; c++)
+		lines += *c == '\n';
+	ck_assert_uint_le(lines, ACCOUNT_STATS_MAX + 8);
+	free(text);
+	account_stats_destroy(s);
+}
+END_TEST
+
 static const char *const mutants[] = {"account_shared",
 				      "account_any_name",
 				      "account_first_credential",
@@ -234,6 +270,7 @@
 	tcase_add_test(tc, allowance_and_priority_are_read);
 	tcase_add_test(tc, home_regions_of_account_and_route_bind);
 	tcase_add_test(tc, invalid_accounts_reject_the_configuration);
+	tcase_add_test(tc, metrics_by_account_are_bounded);
 	tcase_add_test(tc, the_index_finds_every_credential);
 }
 
