--- a/test/unit_fair.c
+++ b/test/unit_fair.c
@@ -64,6 +64,31 @@
 	}
 }
 
+/* Returns how many requests arrive in a step, `mean` on average. */
+static uint32_t arrivals(struct rnd *rnd, double mean)
+{
+	uint32_t n = (uint32_t)mean;
+
+	return n + (rnd_unit(rnd) < mean - n);
+}
+
+static void arrive(struct admit *a, clk_ms now, uint32_t account, size_t id)
+{
+	const struct admit_request request = {
+		.node = 1,
+		.id = id,
+		.priority = loads[account].priority,
+		.account = account + 1,
+		.rate = loads[account].rate,
+		.deadline = now + 1500,
+		.target = now + 600,
+	};
+
+	requests[id].account = account;
+	loads[account].asked++;
+	admit_request(a, now, &request);
+}
+
 static void replay(uint64_t seed)
 {
 	const struct admit_options opts = {.cold_per_second = 5,
@@ -83,25 +108,10 @@
 		end_requests(a, now, n);
 		take_decisions(a, now, &rnd);
 		for (uint32_t k = 0; k < ACCOUNTS; k++) {
-			double mean = loads[k].demand * 0.005;
-
-			for (; mean > 0; mean -= 1) {
-				const struct admit_request request = {
-					.node = 1,
-					.id = n,
-					.priority = loads[k].priority,
-					.account = k + 1,
-					.rate = loads[k].rate,
-					.deadline = now + 1500,
-					.target = now + 600,
-				};
-
-				if (rnd_unit(&rnd) >= mean)
-					continue;
+			for (uint32_t left = arrivals(&rnd, loads[k].demand * 0.005); left;
+			     left--) {
 				ck_assert_uint_lt(n, MAX_REQUESTS);
-				requests[n++].account = k;
-				loads[k].asked++;
-				admit_request(a, now, &request);
+				arrive(a, now, k, n++);
 				take_decisions(a, now, &rnd);
 			}
 		}
