--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -5534,7 +5534,7 @@
   (ProtobufCMessageInit) bc__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bc__slot_ask__field_descriptors[16] =
 {
   {
     "id",
@@ -5668,6 +5668,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cost_class",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost_samples",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__SlotAsk, cost_samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "fingerprint",
     20,
@@ -5696,9 +5732,12 @@
 static const unsigned bc__slot_ask__field_indices_by_name[] = {
   9,   /* field[9] = account */
   8,   /* field[8] = avoid */
-  12,   /* field[12] = caller_ms */
+  15,   /* field[15] = caller_ms */
+  11,   /* field[11] = cost_class */
+  12,   /* field[12] = cost_ms */
+  13,   /* field[13] = cost_samples */
   4,   /* field[4] = deadline_ms */
-  11,   /* field[11] = fingerprint */
+  14,   /* field[14] = fingerprint */
   6,   /* field[6] = heavy */
   0,   /* field[0] = id */
   2,   /* field[2] = key */
@@ -5708,11 +5747,12 @@
   10,   /* field[10] = rate */
   5,   /* field[5] = target_ms */
 };
-static const ProtobufCIntRange bc__slot_ask__number_ranges[2 + 1] =
+static const ProtobufCIntRange bc__slot_ask__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 20, 11 },
-  { 0, 13 }
+  { 15, 11 },
+  { 20, 14 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor bc__slot_ask__descriptor =
 {
@@ -5722,10 +5762,10 @@
   "Bc__SlotAsk",
   "bc",
   sizeof(Bc__SlotAsk),
-  13,
+  16,
   bc__slot_ask__field_descriptors,
   bc__slot_ask__field_indices_by_name,
-  2,  bc__slot_ask__number_ranges,
+  3,  bc__slot_ask__number_ranges,
   (ProtobufCMessageInit) bc__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -6424,7 +6464,7 @@
   (ProtobufCMessageInit) bc__key_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bc__upstream_speed__field_descriptors[4] =
 {
   {
     "num",
@@ -6462,16 +6502,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slowness",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__UpstreamSpeed, slowness),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__upstream_speed__field_indices_by_name[] = {
   2,   /* field[2] = limit */
   0,   /* field[0] = num */
   1,   /* field[1] = service_ms */
+  3,   /* field[3] = slowness */
 };
-static const ProtobufCIntRange bc__upstream_speed__number_ranges[1 + 1] =
+static const ProtobufCIntRange bc__upstream_speed__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 15, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bc__upstream_speed__descriptor =
 {
@@ -6481,10 +6535,10 @@
   "Bc__UpstreamSpeed",
   "bc",
   sizeof(Bc__UpstreamSpeed),
-  3,
+  4,
   bc__upstream_speed__field_descriptors,
   bc__upstream_speed__field_indices_by_name,
-  1,  bc__upstream_speed__number_ranges,
+  2,  bc__upstream_speed__number_ranges,
   (ProtobufCMessageInit) bc__upstream_speed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -715,6 +715,18 @@
    * of its allowance, requests per second, 0: not limited
    */
   uint32_t rate;
+  /*
+   * hash of route, method and size of a large body; 0: unknown
+   */
+  uint32_t cost_class;
+  /*
+   * mean cost of the class as the sender measured it
+   */
+  uint32_t cost_ms;
+  /*
+   * answers behind cost_ms, 0: none
+   */
+  uint32_t cost_samples;
   /*
    * of the request, equal for all attempts of its caller; 0: unknown
    */
@@ -726,7 +738,7 @@
 };
 #define BC__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bc__SlotReply
@@ -907,10 +919,14 @@
    * requests per second that it takes by its last answers, 0: it names none
    */
   double limit;
+  /*
+   * mean, per cent of the usual; 0: all requests cost about service_ms
+   */
+  uint32_t slowness;
 };
 #define BC__UPSTREAM_SPEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__upstream_speed__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -11,6 +11,7 @@
 #include "base/mutant.h"
 #include "base/rnd.h"
 #include "connection/upconn.h"
+#include "cost/cost.h"
 #include "process/stopping.h"
 #include "request/crash.h"
 #include "request/forward_account.h"
@@ -24,8 +25,6 @@
 #define SILENCE_LIMIT_MS 1500
 /* The upstream stops work at the deadline; its answer may take this much longer to arrive. */
 #define DEADLINE_GRACE_MS 120
-/* A request with less time left to its deadline is not retried. */
-#define RETRY_MIN_LEFT_MS 150
 /* Most grants that a request may return unused because the upstream was just removed. */
 #define MAX_UNUSED_GRANTS 4
 /* Longest time that a caller may say it waits. */
@@ -156,6 +155,14 @@
 	return pool && pool->keyed ? slots_owner(pool, f->key) : 0;
 }
 
+/* Returns the cost that this gateway expects of the request, 0 if it asked for no slot. */
+static double predicted_ms(const struct forward *f)
+{
+	const struct slot_ask *a = &f->slot_request;
+
+	return a->pool ? admit_expected_cost(a->pool->admit, a->slot_request.cost_class) : 0;
+}
+
 /* Logs one line per request with its outcome and the data behind the decisions. */
 static void log_outcome(const struct forward *f, int status, const char *outcome)
 {
@@ -167,7 +174,7 @@
 		  "%s status=%d why=%s route=%.*s service=%.*s key=%u owner=%016llx upstream=%s "
 		  "sends=%u "
 		  "lender=%016llx ahead=%u waited_ms=%lld total_ms=%lld left_ms=%lld "
-		  "elapsed_ms=%lld late=%d config=%llu account=%.*s",
+		  "elapsed_ms=%lld late=%d config=%llu cost_ms=%.0f account=%.*s",
 		  outcome, status, f->why ? f->why : "-", f->route ? (int)f->route->name.len : 1,
 		  f->route ? f->route->name.ptr : "-", f->service ? (int)f->service->name.len : 1,
 		  f->service ? f->service->name.ptr : "-", f->key,
@@ -176,7 +183,7 @@
 		  (unsigned long long)f->controller, f->ahead, (long long)f->waited,
 		  (long long)(now - f->req->arrived), (long long)(f->deadline - now),
 		  (long long)f->elapsed, f->late,
-		  f->topo ? (unsigned long long)f->topo->version : 0ULL,
+		  f->topo ? (unsigned long long)f->topo->version : 0ULL, predicted_ms(f),
 		  STR_ARG(forward_account_name(&f->account)));
 }
 
@@ -337,7 +344,7 @@
 static bool try_reserve_retry(struct forward *f)
 {
 	if (f->caller_left || f->sends >= f->route->max_attempts ||
-	    f->deadline - clk_now() < RETRY_MIN_LEFT_MS)
+	    f->deadline - clk_now() < FORWARD_RETRY_MIN_LEFT_MS)
 		return false;
 	if (!f->list->env.reserve_retry(f->list->env.data, f->service->name)) {
 		ctr_inc(&ctr_budget);
@@ -410,7 +417,7 @@
 	}
 	/* An attempt that did not reach the upstream does not count against the retry budget. */
 	if (!arrived && f->sends < f->route->max_attempts &&
-	    f->deadline - clk_now() >= RETRY_MIN_LEFT_MS &&
+	    f->deadline - clk_now() >= FORWARD_RETRY_MIN_LEFT_MS &&
 	    ++f->unused_grants < MAX_UNUSED_GRANTS) {
 		ctr_inc(&ctr_uncharged);
 		request_slot(f);
@@ -858,6 +865,8 @@
 	f->slot_request.slot_request.caller_deadline = f->caller_deadline;
 	f->slot_request.slot_request.place = (uint32_t)str_hash(l->env.settings->failure_domain);
 	f->slot_request.slot_request.heavy = f->route->kind == TOPO_UPLOAD;
+	f->slot_request.slot_request.cost_class =
+		cost_class(f->route->name, f->req->method, f->req->body.len);
 	slots_request(l->env.slots, &f->slot_request, pool);
 }
 
