cost: reports of slowness keep the absolute capacity; tests of what reaches the plan and a successor

The shard manager's own mean scaled the capacities that others reported, so with few requests of its own it took loaded upstreams for idle. It now follows the reported means.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -507,12 +507,14 @@
 		u->mean_slowness = (double)ms / a->service_ms * 100.0;
 }
 
-void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness)
+void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness, clk_ms ms)
 {
 	struct upstream *u = upstream_find(a, num);
 
-	if (u)
-		u->mean_slowness = slowness;
+	if (!u)
+		return;
+	u->mean_slowness = slowness;
+	admit_move_mean(a, (double)ms * 100.0 / slowness);
 }
 
 void admit_remove_node(struct admit *a, uint64_t node)
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -160,8 +160,11 @@
 double admit_relative_cost(const struct admit *a, uint32_t cost_class);
 /* Sets the mean service time of an upstream to the measurement of another admission controller. */
 void admit_set_service_time(struct admit *a, uint64_t num, clk_ms ms);
-/* Sets its slowness, in per cent of the usual service time. */
-void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness);
+/*
+ * The same for a service whose requests differ in cost: sets the upstream's slowness, in per cent
+ * of the usual service time, and moves the service's mean towards the one measured.
+ */
+void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness, clk_ms ms);
 /*
  * Removes all waiting requests of a failed node. Slots granted to the node stay in use until they
  * expire.
--- a/src/process/admit_choice.c
+++ b/src/process/admit_choice.c
@@ -8,6 +8,9 @@
 /* Weights of a new sample in the moving averages of service time and of an upstream's slowness. */
 #define SERVICE_TIME_WEIGHT 0.04
 #define SLOWNESS_WEIGHT 0.1
+/* Most that a mean which another controller measured counts for, as a multiple of the present one.
+ */
+#define MAX_MEAN_FACTOR 8.0
 /* Pause of an upstream after a failure; doubled after each further failure without a success. */
 #define INITIAL_PAUSE_MS 100
 #define MAX_PAUSE_MS 2000
@@ -414,6 +417,13 @@
 	a->service_ms += (ms - a->service_ms) * SERVICE_TIME_WEIGHT;
 }
 
+void admit_move_mean(struct admit *a, double ms)
+{
+	double most = a->service_ms * MAX_MEAN_FACTOR;
+
+	a->service_ms += (fmin(ms, most) - a->service_ms) * SERVICE_TIME_WEIGHT;
+}
+
 void admit_learn_cost(struct admit *a, uint32_t cost_class, clk_ms service,
 		      const struct admit_report *r)
 {
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -149,6 +149,8 @@
 /* Updates the mean service time, that of the class and the upstream's mean slowness. */
 void admit_update_service_time(struct admit *a, struct upstream *u, uint32_t cost_class,
 			       clk_ms service, const struct admit_report *r);
+/* Moves the service's mean towards one that another controller measured. */
+void admit_move_mean(struct admit *a, double ms);
 /* Returns what a request of the class is expected to cost at `u`, at any upstream if NULL. */
 struct cost_estimate admit_cost(const struct admit *a, const struct upstream *u,
 				uint32_t cost_class);
--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -257,7 +257,8 @@
 {
 	struct slots *s = p->slots;
 
-	p->owed_cost += admit_relative_cost(p->admit, request->cost_class);
+	p->owed_cost +=
+		MUTANT(slots_count_keys) ? 1 : admit_relative_cost(p->admit, request->cost_class);
 	for (; p->owed_cost >= 1; p->owed_cost -= 1)
 		s->env.on_key(s->env.data, p->service, request->key);
 }
@@ -418,7 +419,7 @@
 	/* This gateway may be the next controller. */
 	if (!MUTANT(slots_forget_limit))
 		admit_note_limit(permit->pool->admit, clk_now(), permit->upstream, report);
-	if (outcome == ADMIT_OK)
+	if (outcome == ADMIT_OK && !MUTANT(slots_forget_cost))
 		admit_learn_cost(permit->pool->admit, permit->cost_class, service, report);
 	frame.body_case = BC__FRAME__BODY_SLOT_DONE;
 	frame.slot_done = &msg;
@@ -625,8 +626,8 @@
 		.notice = {.limited = true, .limit = speed->limit},
 	};
 
-	if (p && speed->slowness > 0)
-		admit_set_slowness(p->admit, upstream, speed->slowness);
+	if (p && speed->slowness > 0 && speed->service_ms > 0)
+		admit_set_slowness(p->admit, upstream, speed->slowness, speed->service_ms);
 	else if (p && speed->service_ms > 0)
 		admit_set_service_time(p->admit, upstream, speed->service_ms);
 	if (p && speed->limit > 0)
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -21,10 +21,11 @@
 	struct fleet *fleet;
 	struct fleet_info info; /* registration of the only upstream */
 	struct gateway gateways[2];
-	uint64_t controller; /* gateway that both gateways take for the controller */
-	uint64_t owner;	     /* upstream that owns every key */
-	bool drop;	     /* frames are lost after sending */
-	bool cut;	     /* sending a frame fails */
+	uint64_t controller;	/* gateway that both gateways take for the controller */
+	uint64_t owner;		/* upstream that owns every key */
+	bool drop;		/* frames are lost after sending */
+	bool cut;		/* sending a frame fails */
+	uint32_t key_counts[3]; /* calls of on_key() for each key */
 };
 
 /* Slot request and its result. */
@@ -89,6 +90,10 @@
 
 static void on_key(void *data, const char *service, uint32_t key)
 {
+	struct gateway *g = data;
+
+	if (key < 3)
+		g->fixture->key_counts[key]++;
 }
 
 static void ignore_upstream(void *data, struct fleet_upstream *u)
@@ -439,6 +444,65 @@
 }
 END_TEST
 
+/* Sends `n` requests by the second gateway: for key 1 of 100 ms, for key 2 of 1000 ms. */
+static void use_mixed(struct fixture *w, int n, const struct admit_report *report)
+{
+	struct slots *s = w->gateways[1].slots;
+
+	for (int i = 0; i < n; i++) {
+		struct outcome o = {.fixture = w};
+		uint32_t kind = 1 + (uint32_t)i % 2;
+
+		slots_request_init(s, &o.slot_request, on_decided, &o);
+		o.slot_request.slot_request.deadline = clk_now() + 5000;
+		o.slot_request.slot_request.target = clk_now() + 3000;
+		o.slot_request.slot_request.key = kind;
+		o.slot_request.slot_request.cost_class = kind;
+		slots_request(s, &o.slot_request, slots_pool(s, STR_LIT("s"), STR_LIT("r")));
+		ck_assert(o.decided && o.granted);
+		slots_done(s, &o.permit, ADMIT_OK, kind == 1 ? 100 : 1000, report);
+		slots_request_release(s, &o.slot_request);
+	}
+}
+
+/*
+ * Requests of 100 and of 1000 ms for the keys of an upstream of half the usual speed. Guards
+ * against a plan that counts both alike, or takes the mix that a controller saw for the upstream's
+ * speed, and against a successor of the controller that has to learn the costs.
+ */
+START_TEST(costs_reach_the_plan_and_the_successor)
+{
+	const struct admit_report report = {
+		.known = true, .running = 1, .slots = 1, .slowness = 200, .answered = true};
+	struct slots_speed speed;
+	struct fixture w;
+	struct slot_pool *pool;
+	double ms = 0;
+
+	setup_service(&w, true);
+	w.owner = fleet_num(STR_LIT("u1"));
+	use_mixed(&w, 80, &report);
+	memset(w.key_counts, 0, sizeof(w.key_counts));
+	use_mixed(&w, 80, &report);
+	ck_assert_msg(w.key_counts[2] > 3 * w.key_counts[1], "%u and %u", w.key_counts[1],
+		      w.key_counts[2]);
+	ck_assert_uint_ge(w.key_counts[1] + w.key_counts[2], 60);
+	ck_assert_uint_le(w.key_counts[1] + w.key_counts[2], 100);
+
+	speed = slots_speed_of(w.gateways[0].slots, "s", w.owner);
+	ck_assert_msg(speed.slowness > 190 && speed.slowness <= 200, "%u", speed.slowness);
+	for (int i = 0; i < 100; i++)
+		slots_note_speed(w.gateways[1].slots, "s", w.owner, &speed);
+	ck_assert_double_eq_tol(slots_capacity(w.gateways[1].slots, "s", w.owner),
+				1000.0 / (double)speed.service_ms, 0.3);
+
+	pool = slots_pool(w.gateways[1].slots, STR_LIT("s"), STR_LIT("r"));
+	ck_assert_uint_ge(admit_learned_cost(pool->admit, 2, &ms), 30);
+	ck_assert_double_eq_tol(ms, 500, 10);
+	teardown(&w);
+}
+END_TEST
+
 /*
  * The controller started after a restore of the store that lost the registration of the only
  * upstream, which the other gateway knows. Guards against a live upstream of which no gateway makes
@@ -556,9 +620,10 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"slots_keep_parked",	  "slots_forget_limit",
-				      "slots_plan_without_limit", "slots_trust_no_upstream",
-				      "slots_fall_back_always",	  NULL};
+static const char *const mutants[] = {
+	"slots_keep_parked",	   "slots_forget_limit",     "slots_plan_without_limit",
+	"slots_trust_no_upstream", "slots_fall_back_always", "slots_report_mixed_mean",
+	"slots_forget_cost",	   "slots_count_keys",	     NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -569,6 +634,7 @@
 	tcase_add_test(tc, ownerless_request_moves_to_the_controller);
 	tcase_add_test(tc, ownerless_requests_end_during_the_search);
 	tcase_add_test(tc, successor_of_a_controller_knows_the_limit);
+	tcase_add_test(tc, costs_reach_the_plan_and_the_successor);
 	tcase_add_test(tc, capacity_of_a_limited_owner_is_its_limit);
 	tcase_add_test(tc, controller_without_upstreams_does_not_refuse_for_others);
 	tcase_add_test(tc, upstream_out_of_use_at_the_controller_gets_no_request);
