--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -11,7 +11,7 @@
 #define RETRY_AFTER_JITTER_MS 150
 
 /* Time after which a request that leaves the last slot to urgent ones is looked at again. */
-#define HOLD_RECHECK_MS 10
+#define HOLD_RECHECK_MS 20
 
 /* A service whose cold upstreams may get nothing has no next token. */
 #define MAX_TOKEN_WAIT_MS 10000.0
