--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -17,7 +17,7 @@
 /* Wait up to which later arrivals are left out of the estimate, as a share of the service time. */
 #define SHORT_WAIT_SHARE 0.5
 /* Time after which a request that leaves the last slot to urgent ones is looked at again. */
-#define HOLD_RECHECK_MS 10
+#define HOLD_RECHECK_MS 20
 
 /* A service whose cold upstreams may get nothing has no next token. */
 #define MAX_TOKEN_WAIT_MS 10000.0
@@ -656,12 +656,14 @@
 		u->mean_slowness = (double)ms / a->service_ms * 100.0;
 }
 
-void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness)
+void admit_set_slowness(struct admit *a, uint64_t num, uint32_t slowness, clk_ms ms)
 {
 	struct upstream *u = upstream_find(a, num);
 
-	if (u)
-		u->mean_slowness = slowness;
+	if (!u)
+		return;
+	u->mean_slowness = slowness;
+	admit_move_mean(a, (double)ms * 100.0 / slowness);
 }
 
 void admit_remove_node(struct admit *a, uint64_t node)
