test: unit_upconn sends from the loop; cause of its exit code 134

Cause: the test called upconn_send() outside the loop over a kept connection. A write that is complete at once and fills its socket leaves the socket polled for writing; once it is writable again, h2o finds no write and aborts. Callbacks and timers of the loop are not concerned, since h2o runs pending callbacks before it decides what to poll; gateways and routers write only there.

make_call() sends from a timer now and checks as before that the callback does not come from within upconn_send().

--- a/src/connection/upconn.h
+++ b/src/connection/upconn.h
@@ -177,7 +177,9 @@
 
 /*
  * Starts a call. The memory that `req` refers to must stay valid until the callback, which comes
- * from the loop and never from within upconn_send().
+ * from the loop and never from within upconn_send(). To be called from a callback of the loop: for
+ * a write outside of it, h2o polls the socket; if the write is complete and has filled the socket,
+ * h2o aborts the process when the socket is writable again.
  */
 struct upconn_call *upconn_send(struct upconn_pool *pool, const struct upconn_request *req,
 				upconn_cb cb, void *data);
--- a/test/unit_upconn.c
+++ b/test/unit_upconn.c
@@ -125,17 +125,39 @@
 		.method = STR_LIT("GET"), .path = str_from(path), .timeout = LONG_TIMEOUT_MS};
 }
 
-/* Makes one call on the fixture's pool and waits for its end. */
+struct sender {
+	struct timer timer;
+	struct upconn_pool *pool;
+	const struct upconn_request *req;
+	struct outcome *outcome;
+};
+
+static void on_send_timer(struct timer *timer, void *data)
+{
+	struct sender *s = data;
+
+	upconn_send(s->pool, s->req, on_answer, s->outcome);
+	/* The callback must not come from within upconn_send(). */
+	ck_assert(!s->outcome->done);
+}
+
+/*
+ * Makes one call on the fixture's pool and waits for its end. Like the programs, it sends from a
+ * callback of the loop: of a write outside of it h2o may poll the socket without need, and abort
+ * once a full socket that has been written to is writable again.
+ */
 static struct outcome *make_call(struct fixture *f, const struct upconn_request *req,
 				 struct outcome *o)
 {
 	bool may_send_result = o->may_send_result;
+	struct sender s = {.pool = f->pool, .req = req, .outcome = o};
 
 	free(o->body);
 	*o = (struct outcome){.may_send_result = may_send_result};
-	upconn_send(f->pool, req, on_answer, o);
-	ck_assert(!o->done); /* the callback must not come from within upconn_send() */
+	timer_init(&s.timer, f->loop, on_send_timer, &s);
+	timer_arm(&s.timer, 0);
 	ck_assert(unit_run_until(f->loop, is_done, o));
+	timer_release(&s.timer);
 	return o;
 }
 
@@ -864,6 +886,36 @@
 }
 END_TEST
 
+/*
+ * Guards against the end of the process by an assertion of h2o: a request that is written at once
+ * and leaves its socket full. The sizes of the requests pass what the kernel takes in one write.
+ */
+START_TEST(request_that_just_fits_its_socket)
+{
+	size_t max = 16 * 1024 * 1024;
+	char *body = calloc(1, max);
+
+	for (size_t len = 64 * 1024; len < max; len += len / 16) {
+		struct upconn_request req = get("/");
+		struct fixture f;
+		struct outcome o = {0};
+
+		setup(&f);
+		f.script.answers[0] = COMPLETE_ANSWER("one");
+		f.script.answers[1] = COMPLETE_ANSWER("two");
+		make_call(&f, &req, &o);
+		req.method = STR_LIT("POST");
+		req.body = (struct str){body, len};
+		make_call(&f, &req, &o);
+		ck_assert(o.reused);
+		ck_assert_str_eq(o.body, "two");
+		free(o.body);
+		teardown(&f);
+	}
+	free(body);
+}
+END_TEST
+
 /* Guards against reuse of a connection on which the request was not completely written. */
 START_TEST(early_answer_prevents_reuse)
 {
@@ -1592,6 +1644,7 @@
 	tcase_add_test(tc, answer_size_is_limited);
 	tcase_add_test(tc, answers_over_the_limit_of_their_pool_are_ended);
 	tcase_add_test(tc, large_bodies_arrive_complete);
+	tcase_add_test(tc, request_that_just_fits_its_socket);
 	tcase_add_test(tc, early_answer_prevents_reuse);
 	tcase_add_test(tc, cancel_closes_without_a_callback);
 	tcase_add_test(tc, pool_may_be_destroyed_in_a_callback);
