configcheck: client accounts

Findings: accounts without a credential, an empty list, accounts and routes whose home regions have none in common, unknown home regions, exempt routes without accounts, rates that are no whole number (gateways count whole requests a second: 2.5 counts as 2, 0.5 as 1), a burst without a rate. Changes: accounts that come or go, credentials (counted, never shown), priority, allowance, home regions, routes that become exempt.

--- a/src/configcheck/topocheck.c
+++ b/src/configcheck/topocheck.c
@@ -95,7 +95,7 @@
 			     STR_ARG(prefix));
 }
 
-static bool is_known_region(const struct topocheck_env *env, struct str region)
+bool topocheck_is_region(const struct topocheck_env *env, struct str region)
 {
 	for (size_t i = 0; i < env->n_regions; i++) {
 		if (str_eq(env->regions[i], region))
@@ -112,7 +112,7 @@
 	if (!env->n_regions)
 		return;
 	for (size_t i = 0; i < r->n_homes; i++) {
-		if (is_known_region(env, r->homes[i]) || MUTANT(topocheck_any_home))
+		if (topocheck_is_region(env, r->homes[i]) || MUTANT(topocheck_any_home))
 			continue;
 		unknown++;
 		findings_add(out, "home-unknown", place, "the deployment has no region \"%.*s\"",
@@ -144,7 +144,8 @@
 
 		one.homes = &r->homes[i];
 		one.n_homes = 1;
-		if (!is_known_region(env, r->homes[i]) || topocheck_count_upstreams(env, &one, s))
+		if (!topocheck_is_region(env, r->homes[i]) ||
+		    topocheck_count_upstreams(env, &one, s))
 			continue;
 		findings_add(out, "home-without-upstreams", place,
 			     "service %.*s has no registered upstream in home region %.*s",
@@ -275,4 +276,5 @@
 	for (size_t i = 0; i < t->n_services; i++)
 		check_service(t, &t->services[i], out);
 	topocheck_limits(t, env, out);
+	topocheck_accounts(t, env, out);
 }
--- a/src/configcheck/topocheck.h
+++ b/src/configcheck/topocheck.h
@@ -48,6 +48,11 @@
 
 /* Internal: limits of routes, services and callers; topocheck() calls it. */
 void topocheck_limits(const struct topo *t, const struct topocheck_env *env, struct findings *out);
+/* Internal: client accounts; topocheck() calls it. */
+void topocheck_accounts(const struct topo *t, const struct topocheck_env *env,
+			struct findings *out);
+/* Internal: whether the deployment has this region, as far as known. */
+bool topocheck_is_region(const struct topocheck_env *env, struct str region);
 /* Internal: names an entry in findings. Strings live in `a`. */
 struct str topocheck_route_place(struct arena *a, const struct topo_host *h,
 				 const struct topo_route *r);
--- a/src/configcheck/topodiff.c
+++ b/src/configcheck/topodiff.c
@@ -349,6 +349,7 @@
 {
 	diff_limits(out, &before->limits, &after->limits);
 	diff_services(out, before, after);
+	topodiff_accounts(out, before, after);
 	for (size_t i = 0; i < after->n_hosts; i++)
 		diff_routes_after(out, before, after, &after->hosts[i]);
 	for (size_t i = 0; i < before->n_hosts; i++)
--- a/src/configcheck/topodiff.h
+++ b/src/configcheck/topodiff.h
@@ -44,6 +44,12 @@
 void topodiff_route(struct topodiff *d, const struct topo_host *host_before,
 		    const struct topo_route *before, const struct topo_host *host_after,
 		    const struct topo_route *after);
+/* Internal: a list of home regions as text, and whether two lists have the same ones in any order.
+ */
+struct str topodiff_regions_text(struct arena *a, const struct str *regions, size_t n);
+bool topodiff_same_regions(const struct str *a, size_t n_a, const struct str *b, size_t n_b);
+/* Internal, topodiff_account.c. */
+void topodiff_accounts(struct topodiff *d, const struct topo *before, const struct topo *after);
 /* Internal. */
 void topodiff_add(struct topodiff *d, struct topodiff_change change);
 struct str topodiff_route_place(struct topodiff *d, const struct topo_host *h,
--- a/src/configcheck/topodiff_route.c
+++ b/src/configcheck/topodiff_route.c
@@ -78,36 +78,35 @@
 
 /* ---- home regions --------------------------------------------------------------------------- */
 
-static struct str homes_text(struct arena *a, const struct topo_route *r)
+struct str topodiff_regions_text(struct arena *a, const struct str *regions, size_t n)
 {
 	struct str list = STR_NULL;
 
-	for (size_t i = 0; i < r->n_homes; i++)
+	for (size_t i = 0; i < n; i++)
 		list = arena_printf(a, "%.*s%s%.*s", STR_ARG(list), i ? ", " : "",
-				    STR_ARG(r->homes[i]));
-	return r->n_homes ? list : STR_LIT("all regions");
+				    STR_ARG(regions[i]));
+	return n ? list : STR_LIT("all regions");
 }
 
-static bool has_home(const struct topo_route *r, struct str region)
+static bool has_region(const struct str *regions, size_t n, struct str region)
 {
-	for (size_t i = 0; i < r->n_homes; i++) {
-		if (str_eq(r->homes[i], region))
+	for (size_t i = 0; i < n; i++) {
+		if (str_eq(regions[i], region))
 			return true;
 	}
 	return false;
 }
 
-/* Whether both routes may be served in the same regions, in whatever order these are listed. */
-static bool same_homes(const struct topo_route *a, const struct topo_route *b)
+bool topodiff_same_regions(const struct str *a, size_t n_a, const struct str *b, size_t n_b)
 {
-	if (!a->n_homes != !b->n_homes)
+	if (!n_a != !n_b)
 		return false;
-	for (size_t i = 0; i < a->n_homes; i++) {
-		if (!has_home(b, a->homes[i]))
+	for (size_t i = 0; i < n_a; i++) {
+		if (!has_region(b, n_b, a[i]))
 			return false;
 	}
-	for (size_t i = 0; i < b->n_homes; i++) {
-		if (!has_home(a, b->homes[i]))
+	for (size_t i = 0; i < n_b; i++) {
+		if (!has_region(a, n_a, b[i]))
 			return false;
 	}
 	return true;
@@ -119,7 +118,7 @@
 	struct str list = STR_NULL;
 
 	for (size_t i = 0; b->n_homes && i < a->n_homes; i++) {
-		if (!has_home(b, a->homes[i]))
+		if (!has_region(b->homes, b->n_homes, a->homes[i]))
 			list = arena_printf(m, "%.*s%s%.*s", STR_ARG(list), list.len ? ", " : "",
 					    STR_ARG(a->homes[i]));
 	}
@@ -133,7 +132,8 @@
 	struct str lost = lost_homes(m, a, b);
 	struct str effect = STR_LIT("more regions may serve and store these requests");
 
-	if (same_homes(a, b) || MUTANT(topodiff_no_homes))
+	if (topodiff_same_regions(a->homes, a->n_homes, b->homes, b->n_homes) ||
+	    MUTANT(topodiff_no_homes))
 		return;
 	if (lost.len)
 		effect = arena_printf(m,
@@ -142,8 +142,9 @@
 				      STR_ARG(lost));
 	else if (!a->n_homes)
 		effect = arena_printf(m, "requests that enter outside %.*s go there",
-				      STR_ARG(homes_text(m, b)));
-	change(c, "home regions", homes_text(m, a), homes_text(m, b), effect);
+				      STR_ARG(topodiff_regions_text(m, b->homes, b->n_homes)));
+	change(c, "home regions", topodiff_regions_text(m, a->homes, a->n_homes),
+	       topodiff_regions_text(m, b->homes, b->n_homes), effect);
 }
 
 /* ---- services ------------------------------------------------------------------------------- */
@@ -198,6 +199,10 @@
 	diff_times(&c, before, after);
 	diff_numbers(&c, before, after);
 	diff_homes(&c, before, after);
+	change(&c, "credential", before->exempt ? STR_LIT("not needed") : STR_LIT("of an account"),
+	       after->exempt ? STR_LIT("not needed") : STR_LIT("of an account"),
+	       after->exempt ? STR_LIT("anybody may send these requests")
+			     : STR_LIT("requests without a credential are answered with 401"));
 	/* Services of the former route first, then those that only the new one has. */
 	for (size_t i = 0; i < before->n_parts; i++)
 		diff_share(&c, before, after, before, i);
--- a/test/unit_topocheck.c
+++ b/test/unit_topocheck.c
@@ -280,6 +280,51 @@
 }
 END_TEST
 
+/* A configuration with client accounts; `homes`: those of the route "p". */
+static struct topo *make_accounts(const char *homes, const char *accounts)
+{
+	char routes[TEXT_BYTES];
+
+	snprintf(routes, sizeof(routes),
+		 "%s,{\"name\":\"p\",\"prefix\":\"/p/\",\"service\":\"plain\","
+		 "\"allowed-regions\":%s," ROUTE_END "}]}],\"tenants\":[%s],\"x\":[{\"y\":[",
+		 KEYS, homes, accounts);
+	return make_routes(routes);
+}
+
+#define ACCOUNT(members) "{\"name\":\"a\",\"api-keys\":[\"s\"]" members "}"
+
+/* Guards against accounts whose requests are all refused, and allowances that mean something else.
+ */
+START_TEST(accounts_are_checked)
+{
+	static const struct str regions[] = {STR_LIT("r1"), STR_LIT("r2")};
+	struct topocheck_env env = {.regions = regions, .n_regions = 2, .retry_min_left = 150};
+	struct findings f = {0};
+	struct topo *t;
+
+	check(make_accounts("[]", ACCOUNT(",\"rate-per-s\":5,\"burst\":10")), &env, NULL);
+	check(make_accounts("[\"r1\"]", ACCOUNT(",\"allowed-regions\":[\"r2\",\"r1\"]")), &env,
+	      NULL);
+	check(make_accounts("[]", "{\"name\":\"a\",\"api-keys\":[]}"), &env,
+	      "account-without-credentials");
+	check(make_accounts("[]", ""), &env, "no-accounts");
+	check(make_accounts("[\"r1\"]", ACCOUNT(",\"allowed-regions\":[\"r2\"]")), &env,
+	      "account-without-home");
+	check(make_accounts("[]", ACCOUNT(",\"allowed-regions\":[\"r2\",\"r3\"]")), &env,
+	      "home-unknown");
+	check(make_accounts("[]", ACCOUNT(",\"burst\":10")), &env, "burst-without-rate");
+	check(make_accounts("[]", ACCOUNT(",\"rate-per-s\":0.5")), &env, "rate-not-whole");
+	check(make_accounts("[]", ACCOUNT(",\"rate-per-s\":2.5")), &env, "rate-not-whole");
+	t = make_routes(KEYS ",{\"name\":\"p\",\"prefix\":\"/p/\",\"service\":\"plain\","
+			     "\"auth-exempt\":true," ROUTE_END "}");
+	topocheck(t, &env, &f);
+	ck_assert_uint_eq(count_of(&f, "exempt-unused", 1), 1);
+	findings_free(&f);
+	topo_destroy(t);
+}
+END_TEST
+
 /* Guards against sending a version that gateways leave unused. */
 START_TEST(version_is_compared_with_the_one_in_force)
 {
@@ -524,12 +569,63 @@
 }
 END_TEST
 
+/* Guards against accounts whose change is not reported, and against credentials that are shown. */
+START_TEST(changed_accounts_are_reported)
+{
+	static const char *const list[] = {"added:::", "added:::", NULL};
+	static const char *const gone[] = {"removed:::", NULL};
+	static const char *const all[] = {
+		"changed:credentials:1:2",
+		"changed:priority:that of the route:0",
+		"changed:allowance:not limited:5 a second and 10 at once",
+		"changed:home regions:all regions:r1",
+		NULL,
+	};
+	static const char *const exempt[] = {"changed:credential:of an account:not needed", NULL};
+	struct topodiff d;
+
+	check_diff(make_routes(KEYS "," PLAIN), make_accounts("[]", ACCOUNT("")), list, &d);
+	ck_assert(str_eq_cstr(d.changes[0].effect,
+			      "requests without a credential are answered with 401"));
+	topodiff_free(&d);
+	check_diff(make_accounts("[]", ACCOUNT("")), make_accounts("[]", ""), gone, NULL);
+	check_diff(make_accounts("[]", ACCOUNT("")), make_accounts("[]", ACCOUNT("")), NO_CHANGES,
+		   NULL);
+	check_diff(make_accounts("[]", ACCOUNT("")),
+		   make_accounts("[]",
+				 "{\"name\":\"a\",\"api-keys\":[\"secret\",\"t\"],\"priority\":0,"
+				 "\"rate-per-s\":5,\"burst\":10,\"allowed-regions\":[\"r1\"]}"),
+		   all, &d);
+	ck_assert(str_eq_cstr(d.changes[0].effect,
+			      "1 withdrawn, which are answered with 401; 2 new"));
+	topodiff_free(&d);
+	check_diff(make_routes(KEYS "," PLAIN),
+		   make_routes(KEYS ",{\"name\":\"p\",\"prefix\":\"/p/\",\"service\":\"plain\","
+				    "\"auth-exempt\":true," ROUTE_END "}"),
+		   exempt, NULL);
+}
+END_TEST
+
 static const char *const mutants[] = {
-	"topocheck_host_case",	"topocheck_no_shadow",	  "topocheck_any_home",
-	"topocheck_any_target", "topocheck_any_attempts", "topocheck_any_cold",
-	"topocheck_any_body",	"topocheck_any_row",	  "topocheck_any_version",
-	"topodiff_never_moved", "topodiff_no_homes",	  "topodiff_no_shares",
-	"topodiff_no_limits",	"config_any_member",	  NULL,
+	"topocheck_host_case",
+	"topocheck_no_shadow",
+	"topocheck_any_home",
+	"topocheck_any_target",
+	"topocheck_any_attempts",
+	"topocheck_any_cold",
+	"topocheck_any_body",
+	"topocheck_any_row",
+	"topocheck_any_version",
+	"topodiff_never_moved",
+	"topodiff_no_homes",
+	"topodiff_no_shares",
+	"topodiff_no_limits",
+	"config_any_member",
+	"topocheck_account_anywhere",
+	"topocheck_any_rate",
+	"topocheck_no_credentials",
+	"topodiff_no_credentials",
+	NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -541,6 +637,8 @@
 	tcase_add_test(tc, home_regions_are_checked);
 	tcase_add_test(tc, limits_of_routes_that_contradict_each_other_are_found);
 	tcase_add_test(tc, limits_of_services_and_callers_are_checked);
+	tcase_add_test(tc, accounts_are_checked);
+	tcase_add_test(tc, changed_accounts_are_reported);
 	tcase_add_test(tc, version_is_compared_with_the_one_in_force);
 	tcase_add_test(tc, members_that_gateways_do_not_read_are_found);
 	tcase_add_test(tc, order_of_entries_is_no_difference);
