ingress, door: one account of what is held for callers; requests sent ahead run side by side

What callers saw: a gateway read all that a caller sent while a request was open, so that 20 to 40 callers which send ahead ended it; requests sent ahead waited for each other; a head with over 100 fields got 400 though it is within max-header-bytes.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 LDLIBS := -lh2o-evloop -lssl -lcrypto -lprotobuf-c -lcyaml -lyaml -lz -ljansson -lxxhash -largtable2 -lm -lpthread
 SAN := -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=undefined
 
-LIB_SRC := $(sort $(wildcard src/base/*.c src/process/*.c src/version/*.c src/connection/*.c \
+LIB_SRC := $(sort $(wildcard src/base/*.c src/process/*.c src/version/*.c src/connection/*.c src/door/*.c \
 	src/request/*.c src/tool/*.c src/proto/*.c platform/*.c))
 BIN_SRC := $(wildcard src/bin/*.c)
 STANDIN_SRC := $(wildcard standin/standin_*.c)
--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -58,11 +58,17 @@
 
 	for (;;) {
 		if (!max || in->n_conns < max) {
-			h2o_socket_t *sock = h2o_evloop_socket_accept(in->listener);
-
+			int fd = accept4(h2o_socket_get_fd(in->listener), NULL, NULL,
+					 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+			/* The loop only reports that there is something to read, see
+			 * ingress_input.c. */
+			if (fd >= 0)
+				return h2o_evloop_socket_create(in->loop, fd,
+								H2O_SOCKET_FLAG_DONT_READ);
 			/* accept() fails with EMFILE also if no connection waits. */
-			if (sock || (errno != EMFILE && errno != ENFILE))
-				return sock;
+			if (errno != EMFILE && errno != ENFILE)
+				return NULL;
 		}
 		if (!has_waiting_connection(in))
 			return NULL;
@@ -156,6 +162,8 @@
 	in->loop = loop;
 	in->handlers = *handlers;
 	in->data = data;
+	in->door = handlers->limits(data)->door;
+	timer_init(&in->sweep_timer, loop, ingress_on_sweep, in);
 	in->listener = h2o_evloop_socket_create(loop, fd, H2O_SOCKET_FLAG_DONT_READ);
 	in->listener->data = in;
 	timer_init(&in->accept_timer, loop, on_accept_timer, in);
@@ -188,7 +196,7 @@
 	ingress_stop_accepting(in);
 	for (struct ingress_conn *c = in->conns; c; c = next) {
 		next = c->next;
-		if (c->state == CONN_IDLE && !ingress_is_in_use(c))
+		if (c->idle_listed && !ingress_is_in_use(c))
 			ingress_conn_close(c);
 	}
 }
@@ -207,7 +215,7 @@
 	size_t n = 0;
 
 	for (const struct ingress_conn *c = in->conns; c; c = c->next)
-		n += c->state == CONN_WRITING;
+		n += c->writing;
 	return n;
 }
 
@@ -239,5 +247,6 @@
 void ingress_destroy(struct ingress *in)
 {
 	ingress_close(in);
+	timer_release(&in->sweep_timer);
 	free(in);
 }
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -2,8 +2,8 @@
  * HTTP/1.1 server for callers, on h2o's sockets and picohttpparser. It passes each complete request
  * to a handler, which responds now or later. h2o's own server stops reading from a connection while
  * a request is handled and so does not detect that the caller closed the connection until it sends
- * the response; this server reads all the time. Requests with ambiguous framing are refused
- * (request smuggling).
+ * the response; this server reads all the time, or looks for the close while it does not. Requests
+ * with ambiguous framing are refused (request smuggling).
  */
 #ifndef CONNECTION_INGRESS_H
 #define CONNECTION_INGRESS_H
@@ -20,6 +20,7 @@
 #include "base/str.h"
 #include "connection/answer_memory.h"
 #include "connection/blocks.h"
+#include "door/door.h"
 
 struct ingress_header {
 	struct str name; /* lower case */
@@ -27,6 +28,7 @@
 };
 
 struct ingress_conn;
+struct ingress_exchange;
 
 /* Owned by the handler from on_request() until it calls ingress_request_free(). */
 struct ingress_request {
@@ -40,16 +42,20 @@
 	clk_ms arrived;		   /* when the last byte of the request was read */
 	struct ingress_conn *conn; /* NULL after the response, or after the connection closed */
 	char *body_memory;	   /* memory of `body`, allocated with malloc() */
-	size_t body_capacity;	   /* size of `body_memory`, part of `ingress->body_memory_bytes` */
-	struct ingress *ingress;
+	struct ingress_exchange *exchange; /* for use by the ingress */
+	struct door *door;		   /* where `counted` is counted, or NULL */
+	size_t counted;
 	void *data; /* for use by the handler */
 };
 
 struct ingress_limits {
 	size_t max_header_bytes;
 	size_t max_body_bytes;
-	size_t max_total_body_bytes; /* bodies of all requests together; 0: no limit */
-	clk_ms header_timeout;	     /* for reading a request head, from its first byte */
+	/* Account of what is held for callers, as long as the ingress; NULL: no limit. */
+	struct door *door;
+	/* Requests of a connection that may run beside an earlier one; 0: none. */
+	size_t max_ahead;
+	clk_ms header_timeout; /* for reading a request head, from its first byte */
 	/*
 	 * Between requests and between body reads. While a response is written, the caller must
 	 * take 64 KiB in this time, measured up to an eighth longer, or all of it if `answers` is
@@ -72,6 +78,11 @@
 	void (*on_caller_closed)(void *data, struct ingress_request *req);
 	/* Returns the limits to apply now. */
 	const struct ingress_limits *(*limits)(void *data);
+	/*
+	 * Whether the request may run beside others of its connection: it may be repeated, and its
+	 * order with them does not matter. NULL: none may.
+	 */
+	bool (*may_overlap)(void *data, const struct ingress_request *req);
 };
 
 struct ingress;
--- a/src/connection/ingress_answer.c
+++ b/src/connection/ingress_answer.c
@@ -13,82 +13,52 @@
  * Load pattern: callers that read a large answer slowly. One that takes this much of it within
  * idle_timeout gets it whole; one that takes less, byte by byte for example, would hold its memory
  * without end. While answers take more than half of their memory, each is written within
- * idle_timeout or ended, since otherwise the unfinished ones of upstreams would be.
+ * idle_timeout or ended, since otherwise the unfinished ones of upstreams would be; one of which
+ * nothing is taken ends sooner, see door.h.
  */
 #define MIN_TAKEN_BYTES (64u * 1024)
 /* How often within idle_timeout it is checked what a caller has taken. */
 #define TAKEN_CHECKS 8
+/* What a head may need beside its headers. */
+#define HEAD_EXTRA_BYTES 160
 
 static const struct log log = {"ingress"};
-CTR(ctr_malformed, "ingress_malformed_total", "Requests refused because they were malformed.");
+CTR(ctr_untaken, "ingress_untaken_total",
+    "Connections closed because the caller did not take its answer.");
 
-/* Counts a response that is being written, see answer_memory.h. */
-static void count_response(struct ingress_conn *c, size_t bytes)
+void ingress_exchange_free(struct ingress_exchange *x)
 {
-	c->answers = c->in->handlers.limits(c->in->data)->answers;
-	c->write_bytes = bytes;
-	if (c->answers)
-		c->answers->used += bytes;
+	free(x->head);
+	blocks_free(&x->body);
+	if (x->answers)
+		x->answers->used -= x->bytes;
+	free(x);
 }
 
-void ingress_free_response(struct ingress_conn *c)
+bool ingress_answers_short(const struct answer_memory *answers)
 {
-	free(c->write_buf);
-	blocks_free(&c->write_body);
-	c->write_buf = NULL;
-	if (c->answers)
-		c->answers->used -= c->write_bytes;
-	c->answers = NULL;
-}
-
-static void on_written(h2o_socket_t *sock, const char *err)
-{
-	struct ingress_conn *c = sock->data;
-
-	if (err) {
-		ingress_conn_close(c);
-		return;
-	}
-	ingress_free_response(c);
-	if (c->close_after) {
-		ingress_conn_linger(c);
-		return;
-	}
-	ingress_conn_set_idle(c);
-	if (c->sock->input->size)
-		ingress_read_input(c);
+	return answers && answers->limit && answers->used > answers->limit / 2 &&
+	       !MUTANT(ingress_ignore_memory);
 }
 
-void ingress_refuse(struct ingress_conn *c, int status, const char *why)
+static void close_untaken(struct ingress_conn *c)
 {
-	ctr_inc(&ctr_malformed);
-	log_info(&log, "refused a request with %d and closed its connection: %s", status, why);
-	if (!c->req) {
-		c->req = calloc(1, sizeof(*c->req));
-		if (!c->req)
-			abort();
-		c->req->conn = c;
-	}
-	struct str text = arena_printf(&c->req->arena, "{\"error\":\"%s\"}\n", why);
-
-	ingress_write_answer(c, status, NULL, 0, text, (struct blocks){0}, true);
+	ctr_inc(&ctr_untaken);
+	log_info(&log,
+		 "closed the connection of a caller that does not take its answer of %zu bytes",
+		 c->first->bytes);
+	ingress_conn_close(c);
 }
 
 static void arm_taken_check(struct ingress_conn *c, clk_ms idle_timeout)
 {
-	timer_arm(&c->timer, (idle_timeout + TAKEN_CHECKS - 1) / TAKEN_CHECKS);
+	timer_arm(&c->write_timer, (idle_timeout + TAKEN_CHECKS - 1) / TAKEN_CHECKS);
 }
 
-/* Whether the answers that upstreams still send may soon find no memory. */
-static bool is_memory_short(const struct ingress_conn *c)
+void ingress_on_write_timer(struct timer *timer, void *data)
 {
-	return c->answers && c->answers->limit && c->answers->used > c->answers->limit / 2 &&
-	       !MUTANT(ingress_ignore_memory);
-}
-
-void ingress_check_taken(struct ingress_conn *c)
-{
-	clk_ms idle_timeout = c->in->handlers.limits(c->in->data)->idle_timeout;
+	struct ingress_conn *c = data;
+	clk_ms idle_timeout = ingress_limits(c)->idle_timeout;
 	uint64_t acked = tcp_acked_bytes(h2o_socket_get_fd(c->sock));
 	clk_ms now = clk_now();
 
@@ -97,45 +67,66 @@
 		c->acked_bytes = acked;
 		c->taken_at = now;
 	}
-	if (now - (is_memory_short(c) ? c->write_started : c->taken_at) < idle_timeout)
+	if (now - (ingress_answers_short(c->first->answers) ? c->write_started : c->taken_at) <
+	    idle_timeout)
 		arm_taken_check(c, idle_timeout);
 	else
-		ingress_conn_close(c);
+		close_untaken(c);
 }
 
-static size_t head_size(const struct ingress_header *headers, size_t n)
+bool ingress_is_stalled(struct ingress_conn *c, clk_ms now)
 {
-	size_t size = 160;
+	uint64_t acked;
+
+	if (!ingress_answers_short(c->first->answers))
+		return false;
+	acked = tcp_acked_bytes(h2o_socket_get_fd(c->sock));
+	if (acked != c->last_acked) {
+		c->last_acked = acked;
+		c->progress_at = now;
+	}
+	if (!door_is_stalled_answer(c->progress_at, now))
+		return false;
+	ctr_inc(&ctr_untaken);
+	log_info(&log,
+		 "closes the connection of a caller that takes nothing of its answer of %zu "
+		 "bytes while memory is short",
+		 c->first->bytes);
+	return true;
+}
 
-	for (size_t i = 0; i < n; i++)
-		size += headers[i].name.len + headers[i].value.len + 4;
-	return size;
+/* Counts a response until it is written, see answer_memory.h. */
+static void count_response(struct ingress_conn *c, struct ingress_exchange *x, size_t bytes)
+{
+	x->answers = ingress_limits(c)->answers;
+	x->bytes = bytes;
+	if (x->answers)
+		x->answers->used += bytes;
+	if (ingress_answers_short(x->answers))
+		ingress_arm_sweep(c->in);
 }
 
-/* Whether most of the connections allowed are open, so that responses should close theirs. */
-static bool is_crowded(const struct ingress *in)
+static size_t head_size(const struct ingress_header *headers, size_t n)
 {
-	size_t max = in->handlers.limits(in->data)->max_connections;
+	size_t size = HEAD_EXTRA_BYTES;
 
-	return max && in->n_conns > max - max / 4 && !MUTANT(ingress_keep_crowded);
+	for (size_t i = 0; i < n; i++)
+		size += headers[i].name.len + headers[i].value.len + 4;
+	return size;
 }
 
-void ingress_write_answer(struct ingress_conn *c, int status, const struct ingress_header *headers,
-			  size_t n, struct str body, struct blocks owned, bool close)
+void ingress_make_answer(struct ingress_conn *c, struct ingress_exchange *x, int status,
+			 const struct ingress_header *headers, size_t n, struct str body,
+			 struct blocks owned, bool head_only)
 {
-	bool no_body = status == 204 || status == 304 || str_eq_cstr(c->req->method, "HEAD");
+	bool no_body = status == 204 || status == 304 || head_only;
 	size_t copied = no_body ? 0 : body.len;
 	size_t size = head_size(headers, n);
 	char *head = malloc(size + copied);
-	h2o_iovec_t *write_bufs = malloc((1 + owned.n) * sizeof(*write_bufs));
-	size_t n_bufs = 1;
 	size_t at;
 
-	if (!head || !write_bufs)
+	if (!head)
 		abort();
-	c->write_buf = head;
-	c->write_body = owned;
-	c->close_after = close || !c->keep_alive || c->in->draining || is_crowded(c->in);
 	at = (size_t)snprintf(head, size, "HTTP/1.1 %d %s\r\n", status, reason_phrase(status));
 	for (size_t i = 0; i < n; i++) {
 		if (ingress_is_hop_header(headers[i].name))
@@ -143,42 +134,65 @@
 		at += (size_t)snprintf(head + at, size - at, "%.*s: %.*s\r\n",
 				       STR_ARG(headers[i].name), STR_ARG(headers[i].value));
 	}
-	if (c->close_after)
-		at += (size_t)snprintf(head + at, size - at, "connection: close\r\n");
 	if (status != 204 && status != 304)
 		at += (size_t)snprintf(head + at, size - at, "content-length: %zu\r\n",
 				       body.len + owned.len);
-	at += (size_t)snprintf(head + at, size - at, "\r\n");
 	if (copied)
-		memcpy(head + at, body.ptr, copied);
-	write_bufs[0] = h2o_iovec_init(head, at + copied);
-	if (!no_body)
-		n_bufs += blocks_vectors(&owned, write_bufs + 1);
-	count_response(c, size + copied + owned.capacity);
-	ingress_conn_detach_request(c);
-	c->state = CONN_WRITING;
-	c->write_started = clk_now();
-	c->taken_at = c->write_started;
-	arm_taken_check(c, c->in->handlers.limits(c->in->data)->idle_timeout);
-	h2o_socket_write(c->sock, write_bufs, n_bufs, on_written);
-	free(write_bufs);
-	if (!h2o_socket_is_reading(c->sock))
-		h2o_socket_read_start(c->sock, ingress_on_read);
+		memcpy(head + size, body.ptr, copied);
+	x->head = head;
+	x->head_len = at;
+	x->copied = (struct str){head + size, copied};
+	x->body = owned;
+	x->no_body = no_body;
+	count_response(c, x, size + copied + owned.capacity);
+}
+
+/* Whether most of the connections allowed are open, so that responses should close theirs. */
+static bool is_crowded(const struct ingress *in)
+{
+	size_t max = in->handlers.limits(in->data)->max_connections;
+
+	return max && in->n_conns > max - max / 4 && !MUTANT(ingress_keep_crowded);
 }
 
-void ingress_reply(struct ingress_request *req, int status, const struct ingress_header *headers,
-		   size_t n, struct str body, bool close)
+/*
+ * Whether the response of the first exchange closes the connection. While others are open behind it
+ * it does so only if it must: they run already.
+ */
+static bool closes(const struct ingress_conn *c)
 {
-	if (req->conn)
-		ingress_write_answer(req->conn, status, headers, n, body, (struct blocks){0},
-				     close);
+	const struct ingress_exchange *x = c->first;
+
+	if (x->close || !x->keep_alive)
+		return true;
+	return !x->next && (c->in->draining || is_crowded(c->in));
 }
 
-void ingress_reply_blocks(struct ingress_request *req, int status,
-			  const struct ingress_header *headers, size_t n, struct blocks body)
+void ingress_write_answer(struct ingress_conn *c, h2o_socket_cb on_written)
 {
-	if (req->conn)
-		ingress_write_answer(req->conn, status, headers, n, STR_NULL, body, false);
-	else
-		blocks_free(&body);
+	struct ingress_exchange *x = c->first;
+	h2o_iovec_t few[4];
+	h2o_iovec_t *vectors = few;
+	size_t n = 1;
+
+	if (x->body.n + 2 > sizeof(few) / sizeof(few[0]))
+		vectors = malloc((2 + x->body.n) * sizeof(*vectors));
+	if (!vectors)
+		abort();
+	c->close_after = closes(c);
+	x->head_len += (size_t)sprintf(x->head + x->head_len, "%s\r\n",
+				       c->close_after ? "connection: close\r\n" : "");
+	vectors[0] = h2o_iovec_init(x->head, x->head_len);
+	if (x->copied.len)
+		vectors[n++] = h2o_iovec_init(x->copied.ptr, x->copied.len);
+	if (!x->no_body)
+		n += blocks_vectors(&x->body, vectors + n);
+	c->writing = true;
+	c->write_started = clk_now();
+	c->taken_at = c->write_started;
+	c->progress_at = c->write_started;
+	arm_taken_check(c, ingress_limits(c)->idle_timeout);
+	h2o_socket_write(c->sock, vectors, n, on_written);
+	if (vectors != few)
+		free(vectors);
 }
--- a/src/connection/ingress_conn.c
+++ b/src/connection/ingress_conn.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#include "base/log.h"
 #include "base/mutant.h"
 
 /* Time for a caller to read the last response before its connection is closed. */
@@ -14,25 +14,25 @@
 
 CTR(ctr_accepted, "ingress_connections_total", "Connections accepted from callers.");
 CTR(ctr_timeouts, "ingress_slow_total", "Connections closed because a request came too slowly.");
-CTR(ctr_caller_closed, "ingress_gone_total", "Callers that left before their answer.");
+
+const struct ingress_limits *ingress_limits(const struct ingress_conn *c)
+{
+	return c->in->handlers.limits(c->in->data);
+}
 
 void ingress_request_free(struct ingress_request *req)
 {
-	if (req->ingress)
-		req->ingress->body_memory_bytes -= req->body_capacity;
+	door_count(req->door, &req->counted, 0);
 	arena_free(&req->arena);
 	free(req->body_memory);
 	free(req);
 }
 
-void ingress_conn_detach_request(struct ingress_conn *c)
+void ingress_conn_discard_request(struct ingress_conn *c)
 {
-	if (c->req && c->state == CONN_HANDLING)
-		c->req->conn = NULL;
-	else if (c->req)
+	if (c->req)
 		ingress_request_free(c->req);
 	c->req = NULL;
-	c->in->body_memory_bytes -= c->body_capacity;
 	free(c->body);
 	c->body = NULL;
 	c->body_len = 0;
@@ -44,6 +44,7 @@
 {
 	struct ingress *in = c->in;
 
+	c->idle_listed = true;
 	c->idle_prev = in->idle_tail;
 	c->idle_next = NULL;
 	if (in->idle_tail)
@@ -57,6 +58,9 @@
 {
 	struct ingress *in = c->in;
 
+	if (!c->idle_listed)
+		return;
+	c->idle_listed = false;
 	if (c->idle_prev)
 		c->idle_prev->idle_next = c->idle_next;
 	else
@@ -71,26 +75,39 @@
 {
 	struct ingress *in = c->in;
 
-	if (c->state == CONN_HANDLING) {
-		struct ingress_request *req = c->req;
-
-		ingress_conn_detach_request(c);
-		ctr_inc(&ctr_caller_closed);
-		in->handlers.on_caller_closed(in->data, req);
-	} else {
-		ingress_conn_detach_request(c);
-	}
-	if (c->state == CONN_IDLE)
-		ingress_idle_remove(c);
-	ingress_free_response(c);
+	ingress_drop_exchanges(c);
+	ingress_conn_discard_request(c);
+	ingress_idle_remove(c);
+	if (c->paused)
+		in->n_paused--;
+	door_count(in->door, &c->input_counted, 0);
 	timer_release(&c->timer);
+	timer_release(&c->write_timer);
 	in->n_conns--;
 	h2o_socket_close(c->sock);
-	free(c);
+	c->closed = true;
+	if (!c->busy)
+		free(c);
+}
+
+void ingress_conn_hold(struct ingress_conn *c)
+{
+	c->busy++;
+}
+
+bool ingress_conn_release(struct ingress_conn *c)
+{
+	bool closed = c->closed;
+
+	if (--c->busy == 0 && closed)
+		free(c);
+	return !closed;
 }
 
 void ingress_conn_close(struct ingress_conn *c)
 {
+	if (c->in->sweep_next == c)
+		c->in->sweep_next = c->next;
 	if (c->prev)
 		c->prev->next = c->next;
 	else
@@ -104,28 +121,33 @@
 {
 	c->state = CONN_IDLE;
 	idle_list_add(c);
-	timer_arm(&c->timer, c->in->handlers.limits(c->in->data)->idle_timeout);
+	timer_arm(&c->timer, ingress_limits(c)->idle_timeout);
 }
 
 static void on_lingering_read(h2o_socket_t *sock, const char *err)
 {
-	if (err) {
+	char bytes[4096];
+
+	if (err || read(h2o_socket_get_fd(sock), bytes, sizeof(bytes)) == 0)
 		ingress_conn_close(sock->data);
-		return;
-	}
-	h2o_buffer_consume(&sock->input, sock->input->size);
 }
 
 void ingress_conn_linger(struct ingress_conn *c)
 {
 	c->state = CONN_LINGER;
+	ingress_drop_exchanges(c);
+	ingress_conn_discard_request(c);
 	shutdown(h2o_socket_get_fd(c->sock), SHUT_WR);
 	h2o_buffer_consume(&c->sock->input, c->sock->input->size);
+	ingress_count_input(c);
+	if (c->paused)
+		c->in->n_paused--;
+	c->paused = false;
 	h2o_socket_read_start(c->sock, on_lingering_read);
 	timer_arm(&c->timer, LINGER_MS);
 }
 
-static void ingress_conn_on_timer(struct timer *timer, void *data)
+static void on_timer(struct timer *timer, void *data)
 {
 	struct ingress_conn *c = data;
 
@@ -135,14 +157,12 @@
 		ctr_inc(&ctr_timeouts);
 		ingress_refuse(c, 408, "the request did not arrive in time; send it again");
 		break;
-	case CONN_WRITING:
-		ingress_check_taken(c);
-		break;
 	case CONN_IDLE:
 	case CONN_LINGER:
 		ingress_conn_close(c);
 		break;
-	case CONN_HANDLING:
+	case CONN_HELD:
+	case CONN_ENDED:
 		break;
 	}
 }
@@ -163,7 +183,7 @@
 		ingress_conn_close(req->conn);
 }
 
-struct ingress_conn *ingress_conn_open(struct ingress *in, h2o_socket_t *sock)
+void ingress_conn_open(struct ingress *in, h2o_socket_t *sock)
 {
 	struct ingress_conn *c = calloc(1, sizeof(*c));
 	int on = 1;
@@ -174,7 +194,8 @@
 	c->in = in;
 	c->sock = sock;
 	sock->data = c;
-	timer_init(&c->timer, in->loop, ingress_conn_on_timer, c);
+	timer_init(&c->timer, in->loop, on_timer, c);
+	timer_init(&c->write_timer, in->loop, ingress_on_write_timer, c);
 	c->next = in->conns;
 	if (c->next)
 		c->next->prev = c;
@@ -183,7 +204,6 @@
 	ctr_inc(&ctr_accepted);
 	ingress_conn_set_idle(c);
 	h2o_socket_read_start(sock, ingress_on_read);
-	return c;
 }
 
 bool ingress_has_arrived_input(const struct ingress_conn *c)
@@ -196,5 +216,7 @@
 
 bool ingress_is_in_use(const struct ingress_conn *c)
 {
-	return c->state == CONN_IDLE ? ingress_has_arrived_input(c) : c->state != CONN_LINGER;
+	if (c->state == CONN_IDLE && !c->first)
+		return ingress_has_arrived_input(c);
+	return c->state != CONN_LINGER;
 }
--- a/src/connection/ingress_parse.c
+++ b/src/connection/ingress_parse.c
@@ -10,9 +10,8 @@
 #include "base/log.h"
 #include "base/mutant.h"
 
-#define MAX_HEADERS 100
-/* Reading stops when more input than this follows a request whose response is not fully written. */
-#define MAX_PIPELINED_BYTES (64u * 1024)
+/* Headers of a request for which no memory is allocated while they are parsed. */
+#define FEW_HEADERS 100
 /* Limit on the chunk headers and trailers of a request, in addition to the limit on its body. */
 #define MAX_CHUNK_OVERHEAD_BYTES (64u * 1024)
 
@@ -93,7 +92,6 @@
 	const struct ingress_request *req = c->req;
 	bool have_length = false;
 	bool have_host = false;
-	size_t max_total = c->in->handlers.limits(c->in->data)->max_total_body_bytes;
 	uint64_t length = 0;
 
 	c->keep_alive = minor_version >= 1;
@@ -133,11 +131,11 @@
 		*why = "no host header";
 		return 400;
 	}
-	if (have_length && length > c->in->handlers.limits(c->in->data)->max_body_bytes) {
+	if (have_length && length > ingress_limits(c)->max_body_bytes) {
 		*why = "the body is over the limit";
 		return 413;
 	}
-	if (have_length && length && max_total && c->in->body_memory_bytes + length > max_total) {
+	if (have_length && length && !ingress_admit(c, length)) {
 		*why = "no memory for the body now; send it again";
 		return 503;
 	}
@@ -145,16 +143,11 @@
 	return 0;
 }
 
-/* Passes the complete request to the handler. */
-static void dispatch_request(struct ingress_conn *c)
+/* Called with the last byte of the request. */
+static void end_request(struct ingress_conn *c)
 {
-	struct ingress *in = c->in;
-
-	c->state = CONN_HANDLING;
 	c->req->body = (struct str){c->body, c->body_len};
 	c->req->body_memory = c->body;
-	c->req->body_capacity = c->body_capacity;
-	c->req->ingress = in;
 	c->body = NULL;
 	c->body_len = 0;
 	c->body_capacity = 0;
@@ -162,7 +155,7 @@
 	c->req->arrived = clk_now();
 	ctr_inc(&ctr_requests);
 	timer_cancel(&c->timer);
-	in->handlers.on_request(in->data, c->req);
+	ingress_dispatch(c);
 }
 
 static void body_append(struct ingress_conn *c, const char *bytes, size_t len)
@@ -179,7 +172,8 @@
 		c->body = realloc(c->body, size);
 		if (!c->body)
 			abort();
-		c->in->body_memory_bytes += size - c->body_capacity;
+		door_count(c->in->door, &c->req->counted,
+			   c->req->counted + size - c->body_capacity);
 		c->body_capacity = size;
 	}
 	memcpy(c->body + c->body_len, bytes, len);
@@ -201,7 +195,7 @@
 /* Reads a chunked body. Returns true when it is complete; sets `*status` to refuse the request. */
 static bool read_chunked_body(struct ingress_conn *c, int *status)
 {
-	size_t max = c->in->handlers.limits(c->in->data)->max_body_bytes;
+	size_t max = ingress_limits(c)->max_body_bytes;
 	size_t start = c->body_len;
 	size_t n = c->sock->input->size;
 	size_t taken;
@@ -232,28 +226,26 @@
 	return left >= 0;
 }
 
-/* Whether the bodies of all requests together take more memory than allowed. */
-static bool over_total_limit(const struct ingress_conn *c)
-{
-	size_t max = c->in->handlers.limits(c->in->data)->max_total_body_bytes;
-
-	return max && c->in->body_memory_bytes > max;
-}
-
-static void read_body(struct ingress_conn *c)
+static bool read_body(struct ingress_conn *c)
 {
 	int status = 0;
-	bool whole = c->chunked ? read_chunked_body(c, &status) : read_length_body(c);
+	bool whole;
 
-	if (!status && !whole && over_total_limit(c))
+	c->body_read_at = clk_now();
+	/* A chunked body announces no length, so that each part is admitted for itself. */
+	if (c->chunked && !ingress_admit(c, c->sock->input->size))
 		status = 503;
+	whole = !status && (c->chunked ? read_chunked_body(c, &status) : read_length_body(c));
 	if (status)
 		ingress_refuse(c, status,
 			       status == 413   ? "the body is over the limit"
 			       : status == 503 ? "no memory for the body now; send it again"
 					       : "bad chunk");
 	else if (whole)
-		dispatch_request(c);
+		end_request(c);
+	else
+		ingress_count_input(c);
+	return whole && !status;
 }
 
 /* Sends "100 Continue" if the caller waits for it before it sends the body. */
@@ -280,103 +272,170 @@
 	return true;
 }
 
-static void read_head(struct ingress_conn *c)
-{
-	size_t max = c->in->handlers.limits(c->in->data)->max_header_bytes;
-	struct phr_header headers[MAX_HEADERS];
-	size_t n = MAX_HEADERS;
-	const char *method;
-	const char *path;
-	size_t method_len;
-	size_t path_len;
+/* The parts of a request head, in the input buffer. */
+struct head {
+	struct str method;
+	struct str path;
 	int minor_version;
+	struct phr_header *headers;
+	size_t n_headers;
+};
+
+/* Parses the head; returns its length, -1 if it is malformed, -2 if it is incomplete. */
+static int parse_head(struct ingress_conn *c, struct head *head, size_t max_headers)
+{
+	const h2o_buffer_t *input = c->sock->input;
+
+	head->n_headers = max_headers;
+	return phr_parse_request(input->bytes, input->size, &head->method.ptr, &head->method.len,
+				 &head->path.ptr, &head->path.len, &head->minor_version,
+				 head->headers, &head->n_headers,
+				 MUTANT(ingress_head_again) ? 0 : c->head_seen);
+}
+
+/* Returns the number of lines in the input that may be headers. */
+static size_t count_lines(const h2o_buffer_t *input)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < input->size; i++)
+		n += input->bytes[i] == '\n';
+	return n;
+}
+
+/* Returns what is wrong with the parsed head, NULL if nothing is; sets `*status`. */
+static const char *check_head(const struct ingress_conn *c, const struct head *head, int len,
+			      int *status)
+{
+	*status = 431;
+	if (len == -2 || len > (int)ingress_limits(c)->max_header_bytes)
+		return "the head of the request is over the limit";
+	*status = 400;
+	if (len < 0)
+		return "the head of the request cannot be parsed";
+	for (size_t i = 0; i < head->n_headers; i++) {
+		if (!head->headers[i].name)
+			return "a header continues on the next line";
+	}
+	return NULL;
+}
+
+/* Begins the request whose head was parsed. Returns false if it was refused. */
+static bool take_head(struct ingress_conn *c, const struct head *head, size_t len)
+{
 	const char *why = NULL;
 	int status;
-	int len;
 
-	if (!starts_with_token(c->sock->input->bytes, c->sock->input->size)) {
-		ingress_refuse(c, 400, "the head of the request does not start with a method");
-		return;
-	}
-	len = phr_parse_request(c->sock->input->bytes, c->sock->input->size, &method, &method_len,
-				&path, &path_len, &minor_version, headers, &n, 0);
-	if (len == -2 && c->sock->input->size <= max)
-		return;
-	if (len == -2 || len > (int)max) {
-		ingress_refuse(c, 431, "the head of the request is over the limit");
-		return;
-	}
-	if (len < 0) {
-		ingress_refuse(c, 400, "the head of the request cannot be parsed");
-		return;
-	}
-	for (size_t i = 0; i < n; i++) {
-		if (!headers[i].name) {
-			ingress_refuse(c, 400, "a header continues on the next line");
-			return;
-		}
-	}
 	c->req = calloc(1, sizeof(*c->req));
 	if (!c->req)
 		abort();
-	c->req->conn = c;
-	c->req->method = arena_str(&c->req->arena, (struct str){method, method_len});
-	c->req->path = arena_str(&c->req->arena, (struct str){path, path_len});
-	copy_headers(c->req, headers, n);
-	h2o_buffer_consume(&c->sock->input, (size_t)len);
+	c->req->door = c->in->door;
+	if (!ingress_admit(c, door_head_bytes(len, head->n_headers))) {
+		ingress_refuse(c, 503, "no memory for the request now; send it again");
+		return false;
+	}
+	door_count(c->in->door, &c->req->counted, door_head_bytes(len, head->n_headers));
+	c->req->method = arena_str(&c->req->arena, head->method);
+	c->req->path = arena_str(&c->req->arena, head->path);
+	copy_headers(c->req, head->headers, head->n_headers);
+	h2o_buffer_consume(&c->sock->input, len);
 	c->state = CONN_BODY;
 	c->chunks = (struct phr_chunked_decoder){.consume_trailer = 1};
 	c->chunk_lines = (struct chunk_lines){0};
-	status = read_framing(c, minor_version, &why);
-	if (status) {
+	status = read_framing(c, head->minor_version, &why);
+	if (status)
 		ingress_refuse(c, status, why);
-		return;
+	return !status;
+}
+
+/* Reads a request head, and its body as far as it has come. Returns true if the request is whole.
+ */
+static bool read_head(struct ingress_conn *c)
+{
+	struct phr_header few[FEW_HEADERS];
+	struct phr_header *many = NULL;
+	struct head head = {.headers = few};
+	const char *why;
+	bool taken = false;
+	int status;
+	int len;
+
+	if (!starts_with_token(c->sock->input->bytes, c->sock->input->size)) {
+		ingress_refuse(c, 400, "the head of the request does not start with a method");
+		return false;
 	}
+	len = parse_head(c, &head, FEW_HEADERS);
+	if (len == -1 && head.n_headers == FEW_HEADERS && !MUTANT(ingress_few_headers)) {
+		size_t lines = count_lines(c->sock->input);
+
+		head.headers = many = calloc(lines + 1, sizeof(*many));
+		if (!many)
+			abort();
+		len = parse_head(c, &head, lines + 1);
+	}
+	if (len == -2 && c->sock->input->size <= ingress_limits(c)->max_header_bytes) {
+		c->head_seen = c->sock->input->size;
+		free(many);
+		return false;
+	}
+	c->head_seen = 0;
+	why = check_head(c, &head, len, &status);
+	if (why)
+		ingress_refuse(c, status, why);
+	else
+		taken = take_head(c, &head, (size_t)len);
+	free(many);
+	if (!taken)
+		return false;
 	if (c->body_length || c->chunked)
 		send_continue(c);
-	read_body(c);
+	return read_body(c);
 }
 
-void ingress_read_input(struct ingress_conn *c)
+/* Begins to read a request if input of it has come and it may be read now. */
+static bool begin_head(struct ingress_conn *c)
+{
+	if (!ingress_may_read_ahead(c))
+		return false;
+	/* Empty lines before a request are ignored (RFC 9112, 2.2). */
+	while (c->sock->input->size &&
+	       (c->sock->input->bytes[0] == '\r' || c->sock->input->bytes[0] == '\n'))
+		h2o_buffer_consume(&c->sock->input, 1);
+	if (!c->sock->input->size)
+		return false;
+	ingress_idle_remove(c);
+	c->state = CONN_HEAD;
+	c->head_seen = 0;
+	timer_arm(&c->timer, ingress_limits(c)->header_timeout);
+	return true;
+}
+
+/* Reads the next part of the input. Returns true if a request was whole, so that another may
+ * follow. */
+static bool read_step(struct ingress_conn *c)
 {
 	switch (c->state) {
 	case CONN_IDLE:
-		/* Empty lines before a request are ignored (RFC 9112, 2.2). */
-		while (c->sock->input->size &&
-		       (c->sock->input->bytes[0] == '\r' || c->sock->input->bytes[0] == '\n'))
-			h2o_buffer_consume(&c->sock->input, 1);
-		if (!c->sock->input->size)
-			return;
-		ingress_idle_remove(c);
-		c->state = CONN_HEAD;
-		timer_arm(&c->timer, c->in->handlers.limits(c->in->data)->header_timeout);
-		read_head(c);
-		break;
+		return begin_head(c) && read_head(c);
 	case CONN_HEAD:
-		read_head(c);
-		break;
+		return read_head(c);
 	case CONN_BODY:
 		/* The time limit applies between two reads, so that a long body may take longer. */
-		timer_arm(&c->timer, c->in->handlers.limits(c->in->data)->idle_timeout);
-		read_body(c);
-		break;
-	case CONN_HANDLING:
-	case CONN_WRITING:
-		if (c->sock->input->size > MAX_PIPELINED_BYTES)
-			h2o_socket_read_stop(c->sock);
-		break;
+		timer_arm(&c->timer, ingress_limits(c)->idle_timeout);
+		return read_body(c);
+	case CONN_HELD:
+	case CONN_ENDED:
 	case CONN_LINGER:
 		break;
 	}
+	return false;
 }
 
-void ingress_on_read(h2o_socket_t *sock, const char *err)
+void ingress_read_input(struct ingress_conn *c)
 {
-	struct ingress_conn *c = sock->data;
-
-	if (err) {
-		ingress_conn_close(c);
-		return;
-	}
-	ingress_read_input(c);
+	ingress_conn_hold(c);
+	while (read_step(c) && !c->closed && c->sock->input->size)
+		;
+	if (ingress_conn_release(c))
+		ingress_count_input(c);
 }
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -84,7 +84,8 @@
 				 size_t max_body_bytes, listener_handler handler, void *data,
 				 struct err *err)
 {
-	static const struct ingress_handlers handlers = {on_request, on_caller_closed, limits};
+	static const struct ingress_handlers handlers = {
+		.on_request = on_request, .on_caller_closed = on_caller_closed, .limits = limits};
 	struct listener *l = calloc(1, sizeof(*l));
 
 	if (!l)
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -29,10 +29,14 @@
 /* Time before the exit at which requests not yet sent to an upstream are answered as refused. */
 #define STOP_REFUSE_MS 300
 /*
- * All request bodies together may take 1/3 of the process's memory limit, since sending the bodies
- * to upstreams takes memory, too.
+ * What is held of all requests together may take 4/9 of the process's memory limit, a quarter of it
+ * only for connections that hold little (door.h), so that bodies have 1/3; sending them to
+ * upstreams takes memory, too.
  */
-#define BODY_MEMORY_DIVISOR 3
+#define DOOR_MEMORY_PART 4
+#define DOOR_MEMORY_DIVISOR 9
+/* Requests of one connection that may run beside an earlier one. */
+#define MAX_REQUESTS_AHEAD 16
 /* All answers of upstreams together may take 1/3 of the memory limit. */
 #define ANSWER_MEMORY_DIVISOR 3
 /* Callers may take 1/2 of the process's sockets; upstreams, the store and gateways need others. */
@@ -278,6 +282,11 @@
 	forward_caller_left(((struct gateway *)data)->forwards, req);
 }
 
+static bool may_overlap(void *data, const struct ingress_request *req)
+{
+	return forward_may_overlap(((struct gateway *)data)->forwards, req);
+}
+
 static const struct ingress_limits *limits(void *data)
 {
 	static struct ingress_limits current;
@@ -287,7 +296,8 @@
 	current = (struct ingress_limits){
 		.max_header_bytes = l->max_header_bytes,
 		.max_body_bytes = l->max_body_bytes,
-		.max_total_body_bytes = g->settings.memory_bytes / BODY_MEMORY_DIVISOR,
+		.door = &g->door,
+		.max_ahead = MAX_REQUESTS_AHEAD,
 		.header_timeout = l->header_timeout,
 		.idle_timeout = l->idle_timeout,
 		.answers = &g->answers,
@@ -344,12 +354,22 @@
 
 static bool open_ports(struct gateway *g, struct err *err)
 {
-	static const struct ingress_handlers callers = {on_caller_request, on_caller_disconnected,
-							limits};
-	static const struct ingress_handlers ready = {on_ready_request, on_operator_disconnected,
-						      limits};
-	static const struct ingress_handlers metrics = {on_metrics_request,
-							on_operator_disconnected, limits};
+	static const struct ingress_handlers callers = {
+		.on_request = on_caller_request,
+		.on_caller_closed = on_caller_disconnected,
+		.limits = limits,
+		.may_overlap = may_overlap,
+	};
+	static const struct ingress_handlers ready = {
+		.on_request = on_ready_request,
+		.on_caller_closed = on_operator_disconnected,
+		.limits = limits,
+	};
+	static const struct ingress_handlers metrics = {
+		.on_request = on_metrics_request,
+		.on_caller_closed = on_operator_disconnected,
+		.limits = limits,
+	};
 
 	g->callers = ingress_create(g->loop, g->settings.callers.ip, g->settings.callers.port,
 				    &callers, g, err);
@@ -530,6 +550,7 @@
 	struct forward_env env;
 
 	g->answers.limit = g->settings.memory_bytes / ANSWER_MEMORY_DIVISOR;
+	g->door.limit = g->settings.memory_bytes / DOOR_MEMORY_DIVISOR * DOOR_MEMORY_PART;
 	g->fleet = fleet_create(&fleet_handlers, g);
 	g->slots = slots_create(&slots_env);
 	g->split = split_create(g->node);
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -169,6 +169,7 @@
 	struct quarantine *crashes; /* crashed upstreams, counted by request fingerprint */
 	struct forward_list *forwards;
 	struct answer_memory answers; /* of upstreams, read and being written */
+	struct door door;	      /* memory held for callers */
 
 	struct topo *topo; /* configuration in force, NULL before the first one */
 	/* Its row, which a restored store may lack. NULL before the first one. */
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -803,6 +803,14 @@
 		       rnd_mix(str_hash(req->host), str_hash(req->body)));
 }
 
+bool forward_may_overlap(const struct forward_list *l, const struct ingress_request *req)
+{
+	const struct topo *topo = l->env.topo(l->env.data);
+	const struct topo_route *route = topo ? topo_match(topo, req->host, req->path) : NULL;
+
+	return route && topo_is_idempotent(route);
+}
+
 void forward_start(struct forward_list *l, struct ingress_request *req)
 {
 	struct forward *f = forward_new(l, req);
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -76,6 +76,8 @@
  */
 void forward_end(struct forward_list *l);
 
+/* Whether the request may run beside others of its connection, see ingress_handlers. */
+bool forward_may_overlap(const struct forward_list *l, const struct ingress_request *req);
 /* Starts to forward a request; it may be answered before this function returns. */
 void forward_start(struct forward_list *l, struct ingress_request *req);
 /* The caller disconnected: cancels the request, unless it is not idempotent and already sent. */
--- a/standin/standin_keyed.c
+++ b/standin/standin_keyed.c
@@ -346,7 +346,10 @@
 
 static const struct ingress_limits *limits(void *data)
 {
-	static const struct ingress_limits l = {65536, 1 << 22, 0, 10000, 10000, NULL, 0};
+	static const struct ingress_limits l = {.max_header_bytes = 65536,
+						.max_body_bytes = 1 << 22,
+						.header_timeout = 10000,
+						.idle_timeout = 10000};
 
 	return &l;
 }
@@ -369,8 +372,11 @@
 
 int main(int argc, char **argv)
 {
-	static const struct ingress_handlers service = {on_request, on_disconnect, limits};
-	static const struct ingress_handlers control = {on_control, on_control_disconnect, limits};
+	static const struct ingress_handlers service = {
+		.on_request = on_request, .on_caller_closed = on_disconnect, .limits = limits};
+	static const struct ingress_handlers control = {.on_request = on_control,
+							.on_caller_closed = on_control_disconnect,
+							.limits = limits};
 	struct args_common common = args_common_options();
 	struct arg_str *id = arg_str1(NULL, "id", "ID", "id of the upstream");
 	struct arg_lit *keyed = arg_lit0(NULL, "keyed", "run requests only for keys that it holds");
--- a/standin/standin_rowstore.c
+++ b/standin/standin_rowstore.c
@@ -509,7 +509,10 @@
 
 static const struct ingress_limits *limits(void *data)
 {
-	static const struct ingress_limits l = {65536, 1 << 22, 0, 10000, 60000, NULL, 0};
+	static const struct ingress_limits l = {.max_header_bytes = 65536,
+						.max_body_bytes = 1 << 22,
+						.header_timeout = 10000,
+						.idle_timeout = 60000};
 
 	return &l;
 }
@@ -534,7 +537,8 @@
 	return in;
 }
 
-static const struct ingress_handlers service_handlers = {on_request, on_disconnect, limits};
+static const struct ingress_handlers service_handlers = {
+	.on_request = on_request, .on_caller_closed = on_disconnect, .limits = limits};
 
 /* Listens on the service addresses, numbered as in store.hang_address. */
 static void listen_on_service(void)
@@ -639,7 +643,9 @@
 
 int main(int argc, char **argv)
 {
-	static const struct ingress_handlers control = {on_control, on_control_disconnect, limits};
+	static const struct ingress_handlers control = {.on_request = on_control,
+							.on_caller_closed = on_control_disconnect,
+							.limits = limits};
 	struct args_common common = args_common_options();
 	struct arg_str *second =
 		arg_str0(NULL, "second", "IP:PORT", "a second address of the same store");
--- a/test/scripts/door_client.py
+++ b/test/scripts/door_client.py
@@ -82,7 +82,8 @@
             pieces, pause, way = kind_bytes(kind, path, number)
             reader, writer = await asyncio.open_connection(ip, int(port), limit=4096)
             tasks = [asyncio.create_task(read(reader, way)), asyncio.create_task(send(writer, pieces, pause, end))]
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            left = max(0, end + STAY_SECONDS - time.monotonic())
+            await asyncio.wait(tasks, timeout=left, return_when=asyncio.FIRST_COMPLETED)
         except OSError:
             pass
         for task in tasks:
--- a/test/unit_ingress.c
+++ b/test/unit_ingress.c
@@ -17,6 +17,7 @@
 	struct ingress *ingress;
 	uint32_t port;
 	struct ingress_limits limits;
+	struct door door;
 	struct ingress_request *unanswered; /* set if `delay_answer` */
 	bool delay_answer; /* keep the request in `unanswered` instead of answering */
 	size_t requests;
@@ -78,7 +79,8 @@
 
 static void setup(struct fixture *f)
 {
-	static const struct ingress_handlers handlers = {on_request, on_caller_closed, limits};
+	static const struct ingress_handlers handlers = {
+		.on_request = on_request, .on_caller_closed = on_caller_closed, .limits = limits};
 	struct err err = {0};
 
 	memset(f, 0, sizeof(*f));
@@ -88,6 +90,7 @@
 		.max_body_bytes = 4096,
 		.header_timeout = 2000,
 		.idle_timeout = 4000,
+		.door = &f->door,
 	};
 	f->port = unit_free_port(IP);
 	f->ingress = ingress_create(f->loop, IP, f->port, &handlers, f, &err);
@@ -143,6 +146,17 @@
 	return f->closed;
 }
 
+static bool has_requests(void *data)
+{
+	return ((struct fixture *)data)->requests > 0;
+}
+
+/* Whether the account holds nothing but what idle connections have. */
+static bool has_released_all(void *data)
+{
+	return ((struct fixture *)data)->door.used == 0;
+}
+
 static int status_of(struct fixture *f)
 {
 	return f->answer_len > 12 ? atoi(f->answer + 9) : 0;
@@ -278,28 +292,35 @@
 }
 END_TEST
 
-/* Guards against request bodies that together take more memory than the process has. */
+/*
+ * Guards against request bodies that together take more memory than the process has, and against
+ * memory that is not returned when a request has ended.
+ */
 START_TEST(total_body_memory_is_limited)
 {
-	static const char long_body[] =
-		"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 3995\r\n\r\n";
+	static const char head[] = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 250000\r\n\r\n";
+	static char body[250000];
 	static struct fixture f;
 	int second;
 	char answer[64] = "";
 
 	setup(&f);
-	f.limits.max_total_body_bytes = 4000;
+	f.door.limit = 600000;
+	f.limits.max_body_bytes = sizeof(body);
 	f.delay_answer = true;
-	send_bytes(&f, "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n0123456789");
-	unit_run_for(f.loop, 30);
-	ck_assert_uint_eq(f.requests, 1);
+	send_bytes(&f, head);
+	ck_assert_int_eq(send(f.fd, body, sizeof(body), MSG_NOSIGNAL), (ssize_t)sizeof(body));
+	ck_assert(unit_run_until(f.loop, has_requests, &f));
 	second = dial(&f);
-	send(second, long_body, sizeof(long_body) - 1, 0);
+	send(second, head, sizeof(head) - 1, 0);
 	unit_run_for(f.loop, 50);
 	ck_assert_int_gt(recv(second, answer, sizeof(answer) - 1, MSG_DONTWAIT), 0);
 	ck_assert(strstr(answer, " 503 ") != NULL);
 	ck_assert_uint_eq(f.requests, 1);
 	close(second);
+	close(f.fd);
+	ck_assert(unit_run_until(f.loop, has_released_all, &f));
+	f.fd = dial(&f);
 	teardown(&f);
 }
 END_TEST
@@ -769,7 +790,7 @@
 static bool has_read_all(void *data)
 {
 	struct reading *r = data;
-	ssize_t n = recv(r->fd, r->bytes + r->len, 100000, MSG_DONTWAIT);
+	ssize_t n = recv(r->fd, r->bytes + r->len, 250000, MSG_DONTWAIT);
 
 	if (n > 0)
 		r->len += (size_t)n;
--- a/test/unit_platstore.c
+++ b/test/unit_platstore.c
@@ -55,7 +55,8 @@
 
 static void setup(struct fixture *f)
 {
-	static const struct ingress_handlers handlers = {on_request, on_caller_closed, limits};
+	static const struct ingress_handlers handlers = {
+		.on_request = on_request, .on_caller_closed = on_caller_closed, .limits = limits};
 	struct err err = {0};
 	uint32_t port;
 
--- a/test/unit_shardmgr_history.c
+++ b/test/unit_shardmgr_history.c
@@ -1096,8 +1096,9 @@
 
 static void open_upstream(struct history *h, int i)
 {
-	static const struct ingress_handlers handlers = {on_call_request, on_request_closed,
-							 server_limits};
+	static const struct ingress_handlers handlers = {.on_request = on_call_request,
+							 .on_caller_closed = on_request_closed,
+							 .limits = server_limits};
 	struct server *s = &h->w.servers[i];
 	struct err err = {0};
 
