--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -172,6 +172,7 @@
 	struct account_stats *accounts;
 	struct gateway_limits *limits; /* NULL until a configuration has client accounts */
 	struct answer_memory answers;  /* of upstreams, read and being written */
+	struct door door;	       /* memory held for callers */
 
 	struct topo *topo; /* configuration in force, NULL before the first one */
 	/* Its row, which a restored store may lack. NULL before the first one. */
