--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -290,7 +290,8 @@
 	msg.deadline_ms =
 		(uint32_t)(a->slot_request.deadline > now ? a->slot_request.deadline - now : 0);
 	msg.target_ms = (uint32_t)(a->slot_request.target > now ? a->slot_request.target - now : 0);
-	msg.fingerprint = a->slot_request.fingerprint;
+	if (!MUTANT(slots_forget_caller))
+		msg.fingerprint = a->slot_request.fingerprint;
 	if (a->slot_request.caller_deadline > now)
 		msg.caller_ms = (uint32_t)(a->slot_request.caller_deadline - now);
 	msg.heavy = a->slot_request.heavy;
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -33,6 +33,8 @@
 	struct fixture *fixture;
 	bool decided; /* the request was granted or refused */
 	bool granted;
+	bool late;
+	clk_ms elapsed;
 	struct slot_permit permit;
 };
 
@@ -164,6 +166,8 @@
 	ck_assert(!o->decided);
 	o->decided = true;
 	o->granted = d->granted;
+	o->late = d->late;
+	o->elapsed = d->elapsed;
 	if (permit)
 		o->permit = *permit;
 }
@@ -556,9 +560,58 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"slots_keep_parked",	  "slots_forget_limit",
-				      "slots_plan_without_limit", "slots_trust_no_upstream",
-				      "slots_fall_back_always",	  NULL};
+/* Sends a slot request of a caller that waits until `deadline`, with a target that is out of reach.
+ */
+static void request_of_caller(struct fixture *w, struct outcome *o, clk_ms deadline)
+{
+	struct slots *s = w->gateways[1].slots;
+
+	memset(o, 0, sizeof(*o));
+	slots_request_init(s, &o->slot_request, on_decided, o);
+	o->slot_request.slot_request.deadline = deadline;
+	o->slot_request.slot_request.target = clk_now() + 100;
+	o->slot_request.slot_request.fingerprint = 77;
+	o->slot_request.slot_request.caller_deadline = deadline;
+	slots_request(s, &o->slot_request, slots_pool(s, STR_LIT("s"), STR_LIT("r")));
+}
+
+/*
+ * A caller is refused and comes back. Guards against a controller that takes it for a new one as
+ * its requests come through other gateways.
+ */
+START_TEST(refused_caller_is_known_at_its_next_attempt)
+{
+	static struct fixture w;
+	static struct outcome held;
+	static struct outcome o;
+	clk_ms deadline = clk_now() + 1000;
+
+	setup(&w);
+	slot_request(&w, 0, &held);
+	ck_assert(held.granted);
+	request_of_caller(&w, &o, deadline);
+	ck_assert(unit_run_until(w.loop, is_decided, &o));
+	ck_assert(!o.granted && !o.late && o.elapsed == 0);
+	slots_request_release(w.gateways[1].slots, &o.slot_request);
+	unit_run_for(w.loop, 50);
+	request_of_caller(&w, &o, deadline);
+	ck_assert(unit_run_until(w.loop, is_decided, &o));
+	ck_assert_msg(o.late && o.elapsed >= 40, "late %d, %lld ms since the first attempt", o.late,
+		      (long long)o.elapsed);
+	slots_request_release(w.gateways[1].slots, &o.slot_request);
+	done(&w, 0, &held);
+	slots_request_release(w.gateways[0].slots, &held.slot_request);
+	teardown(&w);
+}
+END_TEST
+
+static const char *const mutants[] = {"slots_forget_caller",
+				      "slots_keep_parked",
+				      "slots_forget_limit",
+				      "slots_plan_without_limit",
+				      "slots_trust_no_upstream",
+				      "slots_fall_back_always",
+				      NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -573,6 +626,7 @@
 	tcase_add_test(tc, controller_without_upstreams_does_not_refuse_for_others);
 	tcase_add_test(tc, upstream_out_of_use_at_the_controller_gets_no_request);
 	tcase_add_test(tc, refusal_of_an_older_controller_is_final);
+	tcase_add_test(tc, refused_caller_is_known_at_its_next_attempt);
 }
 
 int main(int argc, char **argv)
