queue: Retry-After by what the next attempt will find

Now Retry-After is 50 to 100 ms if upstreams with free slots refused, and the late return in a lasting overload holds only for queues of more than three standard deviations of the departures in the meantime.

--- a/src/process/admit.c
+++ b/src/process/admit.c
@@ -135,6 +135,16 @@
 	clk_ms elapsed;
 };
 
+/* Whether the queue will hardly have room for a request that comes back after `wait`. */
+static bool stays_full(const struct admit *a, clk_ms now, const struct queue *q, clk_ms wait)
+{
+	double departures = (double)wait * admit_slots(a, q->only, now) /
+			    fmax(admit_mean_service(a, q->only), 1.0);
+
+	return backlog_is_lasting(&q->backlog, now) &&
+	       !comeback_has_chance((double)q->len, departures);
+}
+
 /* Returns the Retry-After of a request that finds room after `wait` at the earliest. */
 static clk_ms retry_after(struct admit *a, clk_ms now, const struct arrival *r,
 			  const struct queue *q, clk_ms wait)
@@ -144,7 +154,7 @@
 	if (wait < RETRY_AFTER_MIN_MS)
 		wait = RETRY_AFTER_MIN_MS;
 	wait += (clk_ms)rnd_below(&a->rnd, RETRY_AFTER_JITTER_MS);
-	if (r->request.fingerprint && q && (r->rank.late || backlog_is_lasting(&q->backlog, now))) {
+	if (r->request.fingerprint && q && (r->rank.late || stays_full(a, now, q, wait))) {
 		clk_ms late = comeback_late(left, rnd_u64(&a->rnd));
 
 		return late > wait && !MUTANT(admit_return_early) ? late : wait;
@@ -219,6 +229,7 @@
 		u->tokens_at = now;
 		u->tokens = ADMIT_RATE_BURST;
 		u->mean_slowness = ADMIT_USUAL_SLOWNESS;
+		u->queue.only = u;
 		HASH_ADD(hh, a->upstreams, num, sizeof(u->num), u);
 	}
 	u->present = true;
@@ -562,8 +573,7 @@
 	upstream_free_if_unused(a, u);
 }
 
-/* Whether the upstream reported a free slot with its answer. */
-static bool had_room(const struct admit_report *r)
+bool admit_had_room(const struct admit_report *r)
 {
 	return r->known && r->running + r->waiting < r->slots;
 }
@@ -590,7 +600,7 @@
 		admit_update_service_time(a, u, s->cost_class, service, report);
 		break;
 	case ADMIT_SHED:
-		if (had_room(report) && shedding_is_common(&u->shedding, &a->shedding))
+		if (admit_had_room(report) && shedding_is_common(&u->shedding, &a->shedding))
 			break;
 		failing_note(&u->failing, now, true);
 		admit_pause(u, now);
--- a/src/process/admit.h
+++ b/src/process/admit.h
@@ -76,6 +76,9 @@
 	struct notice notice;
 };
 
+/* Whether the upstream reported a free slot with its answer. */
+bool admit_had_room(const struct admit_report *r);
+
 /* How the use of a slot ended. */
 enum admit_outcome {
 	ADMIT_OK,	 /* answered */
--- a/src/process/admit_priv.h
+++ b/src/process/admit_priv.h
@@ -49,6 +49,7 @@
 	struct waiting *head;
 	struct waiting *tail;
 	uint32_t len;
+	const struct upstream *only; /* the only upstream that serves it, NULL: any */
 	struct backlog backlog;
 	struct room room; /* what timely requests leave to late ones */
 };
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -13,6 +13,7 @@
 #include "connection/upconn.h"
 #include "cost/cost.h"
 #include "process/stopping.h"
+#include "queue/comeback.h"
 #include "request/crash.h"
 
 /* Most idle connections from this gateway to one upstream. */
@@ -92,6 +93,7 @@
 	uint32_t unused_grants; /* grants returned without sending */
 	bool retry_reserved;	/* a retry of the budget is reserved for the next attempt */
 	bool maybe_ran;		/* an attempt may have run at an upstream */
+	bool shed_with_room;	/* the last attempt was refused by an upstream with free slots */
 	const char *why;	/* result of the last attempt or reason of a refusal, for the log */
 	struct forward *prev;
 	struct forward *next;
@@ -331,6 +333,8 @@
 	clk_ms until = pool ? turned_away_until(f, pool) : 0;
 	clk_ms wait = until - clk_now();
 
+	if (!until && f->shed_with_room)
+		return comeback_soon(str_hash(f->request_id));
 	if (!until)
 		return RETRY_AFTER_DEFAULT_MS;
 	/* Spread over some time, so that the callers do not come back all at once. */
@@ -468,6 +472,7 @@
 	if (is_not_run(f, a)) {
 		bool misplaced = a->status == 421;
 
+		f->shed_with_room = !misplaced && admit_had_room(&report);
 		if (misplaced)
 			note_misplaced(f);
 		else
@@ -670,6 +675,7 @@
 	}
 	f->permit = *permit;
 	f->upstream = u;
+	f->shed_with_room = false;
 	memcpy(f->last_upstream, u->id, sizeof(f->last_upstream));
 	fleet_hold(u);
 	build_request(f);
--- a/test/unit_overload.c
+++ b/test/unit_overload.c
@@ -9,6 +9,7 @@
 
 #include "base/rnd.h"
 #include "process/admit.h"
+#include "queue/comeback.h"
 #include "queue/order.h"
 #include "queue/returns.h"
 #include "queue/room.h"
@@ -59,6 +60,7 @@
 	double urgent;	/* share of callers of higher priority */
 	double shed;	/* share of requests that the upstreams refuse although they have room */
 	bool shed_one;	/* the first upstream refuses all */
+	bool shed_soon; /* callers come back after comeback_soon() */
 	bool impatient; /* callers come back at once instead of after the Retry-After */
 };
 
@@ -186,7 +188,9 @@
 		} else if (c->state == CALLER_RUNNING && c->shed) {
 			w->shed++;
 			admit_done(w->admit, now, c->slot, ADMIT_SHED, SHED_MS, &report);
-			come_back(w, now, c, SHED_RETRY_MS);
+			come_back(w, now, c,
+				  w->load.shed_soon ? comeback_soon(rnd_u64(&w->rnd))
+						    : SHED_RETRY_MS);
 		} else if (c->state == CALLER_RUNNING) {
 			c->state = CALLER_DONE;
 			admit_done(w->admit, now, c->slot, ADMIT_OK, now - c->granted, &report);
@@ -384,6 +388,24 @@
 }
 END_TEST
 
+/*
+ * The same; callers come back after some time, or soon. Guards against a Retry-After that makes
+ * them late although there is room.
+ */
+START_TEST(refused_callers_come_back_soon_if_there_is_room)
+{
+	const struct load load = {.mean = 0.6, .shed = 0.5};
+	const struct load soon = {.mean = 0.6, .shed = 0.5, .shed_soon = true};
+	struct result former = play(&load, true);
+	struct result now = play(&soon, true);
+
+	ck_assert_msg(now.in_time * 10 > former.in_time * 12, "%zu in time, %zu before",
+		      now.in_time, former.in_time);
+	ck_assert_msg(served(&now) * 100 > served(&former) * 97, "%zu answered, %zu before",
+		      served(&now), served(&former));
+}
+END_TEST
+
 /*
  * One upstream refuses all requests although it has free slots. Guards against its slots, which are
  * always free, drawing requests that the others would run.
@@ -409,6 +431,16 @@
 }
 END_TEST
 
+/* Guards against late returns to small pools, where an early one may find a free slot. */
+START_TEST(only_a_large_queue_is_sure_to_last)
+{
+	/* 48 slots and 8 slots; a queue of half a service time; an early return after a whole one.
+	 */
+	ck_assert(!comeback_has_chance(24, 48));
+	ck_assert(comeback_has_chance(4, 8));
+}
+END_TEST
+
 START_TEST(late_requests_wait_for_later_arrivals)
 {
 	struct room room = {0};
@@ -463,11 +495,10 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"returns_all_new",	 "returns_unbounded",
-	"order_late_first",	 "room_ignore_arrivals",
-	"backlog_never_lasting", "backlog_wait_on",
-	"admit_return_early",	 "shedding_pause_all",
-	"shedding_pause_none",	 NULL,
+	"returns_all_new",	 "returns_unbounded",	  "order_late_first",
+	"room_ignore_arrivals",	 "backlog_never_lasting", "backlog_wait_on",
+	"admit_return_early",	 "shedding_pause_all",	  "shedding_pause_none",
+	"comeback_soon_is_late", "comeback_no_chance",	  NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -479,8 +510,10 @@
 	tcase_add_test(tc, urgent_callers_go_first);
 	tcase_add_test(tc, impatient_callers_gain_nothing);
 	tcase_add_test(tc, refusals_by_all_upstreams_leave_their_slots_in_use);
+	tcase_add_test(tc, refused_callers_come_back_soon_if_there_is_room);
 	tcase_add_test(tc, an_upstream_that_refuses_all_draws_no_requests);
 	tcase_add_test(tc, timely_requests_precede_late_ones);
+	tcase_add_test(tc, only_a_large_queue_is_sure_to_last);
 	tcase_add_test(tc, late_requests_wait_for_later_arrivals);
 	tcase_add_test(tc, a_caller_is_known_by_request_and_deadline);
 	tcase_add_test(tc, records_of_refused_callers_are_limited);
