ingress: a handler that drops one request loses the others of its connection later, from the loop

A gateway that notices a closed caller while it grants slots would have ended other waiting requests within the grant. Test in unit_pipeline, leaving_ends_all_requests.

--- a/src/connection/ingress_conn.c
+++ b/src/connection/ingress_conn.c
@@ -177,10 +177,23 @@
 	return poll(&p, 1, 0) > 0;
 }
 
+/*
+ * The handler may be deciding on several requests; only the one that it named ends in this call,
+ * and others of the connection from the loop.
+ */
 void ingress_drop(struct ingress_request *req)
 {
-	if (req->conn)
-		ingress_conn_close(req->conn);
+	struct ingress_conn *c = req->conn;
+
+	if (!c)
+		return;
+	if (c->n_exchanges == 1) {
+		ingress_conn_close(c);
+		return;
+	}
+	ingress_drop_request(req);
+	c->state = CONN_LINGER;
+	timer_arm(&c->timer, 0);
 }
 
 void ingress_conn_open(struct ingress *in, h2o_socket_t *sock)
--- a/src/connection/ingress_order.c
+++ b/src/connection/ingress_order.c
@@ -95,23 +95,27 @@
 	}
 }
 
-void ingress_drop_exchanges(struct ingress_conn *c)
+void ingress_drop_request(struct ingress_request *req)
 {
-	struct ingress *in = c->in;
+	struct ingress *in = req->conn->in;
+
+	req->exchange->req = NULL;
+	req->exchange = NULL;
+	req->conn = NULL;
+	ctr_inc(&ctr_caller_closed);
+	in->handlers.on_caller_closed(in->data, req);
+}
 
+void ingress_drop_exchanges(struct ingress_conn *c)
+{
 	c->writing = false;
 	timer_cancel(&c->write_timer);
 	while (c->first) {
 		struct ingress_exchange *x = pop_exchange(c);
-		struct ingress_request *req = x->req;
 
+		if (x->req)
+			ingress_drop_request(x->req);
 		ingress_exchange_free(x);
-		if (!req)
-			continue;
-		req->conn = NULL;
-		req->exchange = NULL;
-		ctr_inc(&ctr_caller_closed);
-		in->handlers.on_caller_closed(in->data, req);
 	}
 }
 
--- a/src/connection/ingress_priv.h
+++ b/src/connection/ingress_priv.h
@@ -151,6 +151,8 @@
 void ingress_dispatch(struct ingress_conn *c);
 /* Sends an error response instead of passing the request to the handler; closes the connection. */
 void ingress_refuse(struct ingress_conn *c, int status, const char *why);
+/* Ends a request without a response and reports the close to the handler. */
+void ingress_drop_request(struct ingress_request *req);
 /* Ends all open exchanges without a response; reports the close for those being handled. */
 void ingress_drop_exchanges(struct ingress_conn *c);
 /* Writes the response of the first exchange if there is one. */
--- a/test/unit_pipeline.c
+++ b/test/unit_pipeline.c
@@ -287,6 +287,17 @@
 	unit_run_for(f.loop, 60);
 	ck_assert_uint_eq(f.n_left, 2);
 	teardown(&f);
+
+	/* The handler notices it for one request, and may not lose the others in that call. */
+	setup(&f);
+	for (int i = 0; i < 3; i++)
+		send_request(&f, "GET", i);
+	unit_run_for(f.loop, 60);
+	ingress_drop(f.open[1]);
+	ck_assert_uint_eq(f.n_left, 1);
+	unit_run_for(f.loop, 30);
+	ck_assert_uint_eq(f.n_left, 3);
+	teardown(&f);
 }
 END_TEST
 
