ingress: requests of one connection end once; bodies are counted when they are announced

Seen with 200 callers by hand (160 MB), not in the tests: (1) 'double free': the end of one request of a closed connection granted a slot to the next one, whose drop closed the connection again; test in unit_pipeline (leaving_ends_all_requests, heap-use-after-free without the change). (2) 196 MB: announced bodies were admitted before any of them was counted.

--- a/src/connection/ingress_conn.c
+++ b/src/connection/ingress_conn.c
@@ -187,13 +187,15 @@
 
 	if (!c)
 		return;
-	if (c->n_exchanges == 1) {
+	if (c->ending) {
+		ingress_drop_request(req);
+	} else if (c->n_exchanges == 1) {
 		ingress_conn_close(c);
-		return;
+	} else {
+		ingress_drop_request(req);
+		c->state = CONN_LINGER;
+		timer_arm(&c->timer, 0);
 	}
-	ingress_drop_request(req);
-	c->state = CONN_LINGER;
-	timer_arm(&c->timer, 0);
 }
 
 void ingress_conn_open(struct ingress *in, h2o_socket_t *sock)
--- a/src/connection/ingress_input.c
+++ b/src/connection/ingress_input.c
@@ -53,7 +53,7 @@
 	struct ingress_conn *best = NULL;
 
 	for (struct ingress_conn *c = in->conns; c; c = c->next) {
-		if (c->state == CONN_BODY && c != except && c->body_capacity &&
+		if (c->state == CONN_BODY && c != except && c->body_length + c->body_capacity &&
 		    (!best || c->body_read_at < best->body_read_at))
 			best = c;
 	}
--- a/src/connection/ingress_order.c
+++ b/src/connection/ingress_order.c
@@ -110,6 +110,8 @@
 {
 	c->writing = false;
 	timer_cancel(&c->write_timer);
+	/* The end of a request may make its handler drop another one of the connection. */
+	c->ending = true;
 	while (c->first) {
 		struct ingress_exchange *x = pop_exchange(c);
 
--- a/src/connection/ingress_parse.c
+++ b/src/connection/ingress_parse.c
@@ -140,6 +140,7 @@
 		return 503;
 	}
 	c->body_length = c->chunked ? 0 : (size_t)length;
+	door_count(c->in->door, &c->req->counted, c->req->counted + c->body_length);
 	return 0;
 }
 
@@ -172,8 +173,10 @@
 		c->body = realloc(c->body, size);
 		if (!c->body)
 			abort();
-		door_count(c->in->door, &c->req->counted,
-			   c->req->counted + size - c->body_capacity);
+		/* An announced body was counted whole with its head. */
+		if (c->chunked)
+			door_count(c->in->door, &c->req->counted,
+				   c->req->counted + size - c->body_capacity);
 		c->body_capacity = size;
 	}
 	memcpy(c->body + c->body_len, bytes, len);
--- a/src/connection/ingress_priv.h
+++ b/src/connection/ingress_priv.h
@@ -65,6 +65,7 @@
 	struct ingress_exchange *first; /* open exchanges in the order of their requests */
 	struct ingress_exchange *last;
 	size_t n_exchanges;
+	bool ending;	  /* all exchanges end without a response */
 	bool writing;	  /* the response of `first` is being written */
 	bool close_after; /* it closes the connection */
 	struct timer write_timer;
--- a/test/scripts/door_lib.sh
+++ b/test/scripts/door_lib.sh
@@ -21,7 +21,8 @@
 	[ "$(curl -s -m 20 -o /dev/null -w '%{http_code} %{size_download}' -H "host: h.example" \
 		-H "x-attempt-id: one-$RANDOM" -H "x-time-remaining: 3000" "http://$FRONT1/read/one")" = "200 1048576" ]
 }
-peak_kb() { awk '/VmHWM/ {print $2}' "/proc/${PIDS[gateway-1]}/status" 2>/dev/null || echo 0; }
+# peak_kb: prints the peak of the gateway's memory, nothing if the process has ended.
+peak_kb() { awk '/VmHWM/ {print $2}' "/proc/${PIDS[gateway-1]}/status" 2>/dev/null; }
 
 # crowd KIND CALLERS PLACE ADDRESS PATH: lets a crowd of this kind come to a fresh gateway.
 crowd() {
@@ -32,10 +33,11 @@
 	wait_until is_ready
 	seen=$(python3 "$ROOT/test/scripts/door_client.py" "$1" "$4" "$5" "$2" "${PIDS[gateway-1]}" "$MAX_DESCRIPTORS")
 	peak=$(peak_kb)
-	echo "$1 $3: peak $peak kB" >>"$WORK/notes"
-	[ "$peak" -le $((MEMORY_MB * 1024)) ] && peak="within the limit" || peak="$((peak / 1024)) MB"
+	echo "$1 $3: peak ${peak:-none, it ended:} kB" >>"$WORK/notes"
+	[ -n "$peak" ] || seen="ended, ${seen#* }"
+	[ "${peak:-0}" -le $((MEMORY_MB * 1024)) ] && peak="within the limit" || peak="$((peak / 1024)) MB"
 	echo "$1 $3: $seen, memory $peak"
-	kill -0 "${PIDS[gateway-1]}" 2>/dev/null || start_gateway 1
+	[ "${seen%%,*}" = lives ] || start_gateway 1
 	wait_until is_served
 	wait_until is_ready
 	stop gateway-1 KILL
--- a/test/unit_pipeline.c
+++ b/test/unit_pipeline.c
@@ -21,7 +21,8 @@
 	uint32_t port;
 	struct ingress_request *open[MAX_REQUESTS]; /* in the order of their start */
 	size_t n_started;
-	size_t n_left; /* reported by on_caller_closed() */
+	size_t n_left;	/* reported by on_caller_closed() */
+	bool drop_next; /* on_caller_closed() drops another request */
 	int fd;
 	char answer[65536];
 	size_t answer_len;
@@ -45,6 +46,12 @@
 		if (f->open[i] == req)
 			f->open[i] = NULL;
 	}
+	for (size_t i = 0; i < f->n_started && f->drop_next; i++) {
+		if (f->open[i]) {
+			f->drop_next = false;
+			ingress_drop(f->open[i]);
+		}
+	}
 	ingress_request_free(req);
 }
 
@@ -298,6 +305,18 @@
 	unit_run_for(f.loop, 30);
 	ck_assert_uint_eq(f.n_left, 3);
 	teardown(&f);
+
+	/* While the requests of a closed connection end, the handler drops the next one. */
+	setup(&f);
+	f.drop_next = true;
+	for (int i = 0; i < 2; i++)
+		send_request(&f, "GET", i);
+	unit_run_for(f.loop, 60);
+	close(f.fd);
+	f.fd = -1;
+	unit_run_for(f.loop, 60);
+	ck_assert_uint_eq(f.n_left, 2);
+	teardown(&f);
 }
 END_TEST
 
