--- a/test/shardmgr_world.h
+++ b/test/shardmgr_world.h
@@ -521,15 +521,19 @@
 
 static const struct ingress_limits *server_limits(void *data)
 {
-	static const struct ingress_limits limits = {16384, 65536, 0, 5000, 60000, NULL, 0};
+	static const struct ingress_limits limits = {.max_header_bytes = 16384,
+						     .max_body_bytes = 65536,
+						     .header_timeout = 5000,
+						     .idle_timeout = 60000};
 
 	return &limits;
 }
 
 static inline void server_listen(struct server *s)
 {
-	static const struct ingress_handlers handlers = {on_call_request, on_request_closed,
-							 server_limits};
+	static const struct ingress_handlers handlers = {.on_request = on_call_request,
+							 .on_caller_closed = on_request_closed,
+							 .limits = server_limits};
 	struct fleet_upstream *u;
 	struct err err = {0};
 	char id[16];
