--- a/src/connection/ingress.c
+++ b/src/connection/ingress.c
@@ -246,6 +246,8 @@
 
 void ingress_destroy(struct ingress *in)
 {
+	if (!in)
+		return;
 	ingress_close(in);
 	timer_release(&in->sweep_timer);
 	free(in);
--- a/src/connection/ingress.h
+++ b/src/connection/ingress.h
@@ -113,7 +113,9 @@
  * the handler has not responded to.
  */
 void ingress_close(struct ingress *in);
-/* Calls ingress_close() and frees `in`. The handler must have freed all requests, or in the call.
+/*
+ * Calls ingress_close() and frees `in`, which may be NULL. The handler must have freed all
+ * requests, or free them in the call.
  */
 void ingress_destroy(struct ingress *in);
 
