--- a/src/connection/ingress_answer.c
+++ b/src/connection/ingress_answer.c
@@ -134,9 +134,6 @@
 		at += (size_t)snprintf(head + at, size - at, "%.*s: %.*s\r\n",
 				       STR_ARG(headers[i].name), STR_ARG(headers[i].value));
 	}
-	if (status != 204 && status != 304)
-		at += (size_t)snprintf(head + at, size - at, "content-length: %zu\r\n",
-				       body.len + owned.len);
 	if (copied)
 		memcpy(head + size, body.ptr, copied);
 	x->head = head;
@@ -144,6 +141,8 @@
 	x->copied = (struct str){head + size, copied};
 	x->body = owned;
 	x->no_body = no_body;
+	x->has_length = status != 204 && status != 304;
+	x->length = body.len + owned.len;
 	count_response(c, x, size + copied + owned.capacity);
 }
 
@@ -168,6 +167,19 @@
 	return !x->next && (c->in->draining || is_crowded(c->in));
 }
 
+/* Adds the headers that are known only when the response is written. */
+static void end_head(struct ingress_conn *c, struct ingress_exchange *x)
+{
+	char *end = x->head + x->head_len;
+
+	if (c->close_after)
+		end += sprintf(end, "connection: close\r\n");
+	if (x->has_length)
+		end += sprintf(end, "content-length: %zu\r\n", x->length);
+	end += sprintf(end, "\r\n");
+	x->head_len = (size_t)(end - x->head);
+}
+
 void ingress_write_answer(struct ingress_conn *c, h2o_socket_cb on_written)
 {
 	struct ingress_exchange *x = c->first;
@@ -180,8 +192,7 @@
 	if (!vectors)
 		abort();
 	c->close_after = closes(c);
-	x->head_len += (size_t)sprintf(x->head + x->head_len, "%s\r\n",
-				       c->close_after ? "connection: close\r\n" : "");
+	end_head(c, x);
 	vectors[0] = h2o_iovec_init(x->head, x->head_len);
 	if (x->copied.len)
 		vectors[n++] = h2o_iovec_init(x->copied.ptr, x->copied.len);
--- a/src/connection/ingress_priv.h
+++ b/src/connection/ingress_priv.h
@@ -30,9 +30,11 @@
 	bool close;		     /* the response closes the connection */
 	char *head;		     /* head of the response without its end, and a copied body */
 	size_t head_len;
-	struct str copied;	       /* the copied body, in the memory of `head` */
-	struct blocks body;	       /* a body that is not copied */
-	bool no_body;		       /* the response has none, whatever is in `body` */
+	struct str copied;  /* the copied body, in the memory of `head` */
+	struct blocks body; /* a body that is not copied */
+	bool no_body;	    /* the response has none, whatever is in `body` */
+	bool has_length;    /* the response has a content-length: `length` */
+	size_t length;
 	size_t bytes;		       /* size of the response as counted in `answers` */
 	struct answer_memory *answers; /* where the response is counted, or NULL */
 	struct ingress_exchange *next;
