--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 import base64
 import os
 import random
+import signal
 import sys
 import tempfile
 
@@ -228,9 +229,10 @@
     return 1 if both or long else 0
 
 
+signal.signal(signal.SIGTERM, signal.default_int_handler)
 try:
     code = asyncio.run(asyncio.wait_for(main(), 110))
-except Exception as e:  # the case could not run
+except BaseException as e:  # the case could not run, or was stopped
     record("could not run:", repr(e))
     print("could not run:", repr(e))
     code = 2
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -107,7 +107,7 @@
             route("orden", "/orden/", "unsafe", "pedidos", timeout="2000ms",
                   **{"target-latency": "1200ms", "priority": 1, "allowed-regions": ["meseta"]})]))
         gateways = [Gateway(record, work, "front-%s-%d" % (z, i), z, ZONES[z], ZONES, a.machine(),
-                            address, BOUNDS) for i, z in enumerate(["meseta-a"] * 2 + ["pacifico-a"] * 2)]
+                            address, BOUNDS) for i, z in enumerate(["meseta-a"] * 5 + ["pacifico-a"] * 5)]
         try:
             for g in gateways:
                 await g.start()
@@ -160,9 +160,10 @@
     return 1 if len(never) >= 8 and 2 * len(never) > len(late) else 0
 
 
+signal.signal(signal.SIGTERM, signal.default_int_handler)
 try:
     code = asyncio.run(asyncio.wait_for(main(), 110))
-except Exception as e:  # the case could not run
+except BaseException as e:  # the case could not run, or was stopped
     record("could not run:", repr(e))
     print("could not run:", repr(e))
     code = 2
