test: the shard manager's world ends the text of a grant before it is parsed

Cause: sscanf() was given a request's body, which has a length and no terminating NUL, so it read on to the next zero byte.

--- a/test/shardmgr_world.h
+++ b/test/shardmgr_world.h
@@ -492,7 +492,9 @@
 		return;
 	}
 	s->world->other_calls += s->other;
-	ck_assert_int_eq(sscanf(req->body.ptr, "%u %u %llu %lld", &from, &to, &fence, &hold), 4);
+	ck_assert_int_eq(sscanf(arena_str(&req->arena, req->body).ptr, "%u %u %llu %lld", &from,
+				&to, &fence, &hold),
+			 4);
 	if (hold && s->late) {
 		delay_grant(s, from, to, fence, now + hold);
 		return;
