--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -117,15 +117,23 @@
 		.health_path = health_path_of,
 		.on_owners = on_owners,
 		.on_role = on_role,
-		.peers_agree = gateway_peers_agree,
+		.electorate = gateway_electorate,
+		.role_confirmed = gateway_role_confirmed,
+		.peers_support = gateway_peers_support,
+		.peers_consent = gateway_peers_consent,
+		.ask_peers = gateway_ask_peers,
+		.peers_knew_none_above = gateway_peers_knew_none_above,
 		.hears_most = gateway_hears_most,
 		.hears_all = gateway_hears_all,
 		.others_answered_at = gateway_others_answered_at,
 		.has_all_maps = gateway_has_all_maps,
 	};
 
-	if (service->keyed && !s->shardmgr)
-		s->shardmgr = shardmgr_create(&env, s->name);
+	if (!service->keyed || s->shardmgr)
+		return;
+	s->shardmgr = shardmgr_create(&env, s->name);
+	for (const struct gateway_peer *p = g->peer_states; p; p = p->hh.next)
+		voters_connected(&s->voters, p->id, p->node, clk_now());
 }
 
 static void on_misplaced(void *data, const char *service, uint32_t key, uint64_t upstream)
@@ -635,6 +643,7 @@
 	ingress_destroy(g->metrics);
 	HASH_ITER (hh, g->services, s, tmp) {
 		shardmgr_destroy(s->shardmgr);
+		voters_clear(&s->voters);
 		HASH_DEL(g->services, s);
 		free(s);
 	}
--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -39,8 +39,7 @@
 #define SHARDMGR_CUT_OFF_MS 600
 /*
  * A shard manager whose store has not answered for this long counts as cut off from the store. It
- * confirms its role at the store every 0.9 s (SHARDMGR_CONFIRM_MS) and stops renewing leases soon
- * after this time (SHARDMGR_STORE_SILENCE_MS).
+ * confirms its role at the store every 0.9 s (SHARDMGR_CONFIRM_MS).
  */
 #define SHARDMGR_STORE_ANSWER_AGE_MS 1500
 /* Delay per rank: candidates for shard manager try one after the other. */
@@ -55,8 +54,6 @@
  * candidate's CPU time ranks after that one.
  */
 #define MIN_ROLE_CPU_SHARE 0.5
-/* A peer whose last heartbeat is older does not count in gateway_peers_agree(). */
-#define MAX_HEARTBEAT_AGE_MS 1200
 /* Rows that a peer has newer are requested if they have not arrived by themselves in this time. */
 #define BEHIND_PEER_MS 500
 #define BEHIND_REMOTE_MS 2000
@@ -127,10 +124,32 @@
 	}
 }
 
+/* Lists the highest terms that this gateway knows: it supports no lower ones. */
+static void list_followed(struct gateway *g, struct arena *a, Bc__Pulse *msg)
+{
+	struct gateway_service *s;
+
+	msg->follows = arena_alloc(a, GATEWAY_MAX_MANAGED * sizeof(*msg->follows));
+	for (s = g->services; s && msg->n_follows < GATEWAY_MAX_MANAGED; s = s->hh.next) {
+		Bc__KeeperTerm *term;
+
+		if (!s->shardmgr || !shardmgr_followed_term(s->shardmgr))
+			continue;
+		term = arena_alloc(a, sizeof(*term));
+		*term = (Bc__KeeperTerm)BC__KEEPER_TERM__INIT;
+		term->service = s->name;
+		term->term = shardmgr_followed_term(s->shardmgr);
+		term->before = shardmgr_former_term(s->shardmgr);
+		term->process_ms = (uint32_t)(clk_now() - g->started);
+		msg->follows[msg->n_follows++] = term;
+	}
+}
+
 static void fill_heartbeat(struct gateway *g, struct arena *a, Bc__Pulse *msg)
 {
 	*msg = (Bc__Pulse)BC__PULSE__INIT;
 	list_managed(g, a, msg);
+	list_followed(g, a, msg);
 	msg->draining = g->draining;
 	msg->store_ok = watch_store_ok(g->watch);
 	msg->reads = !watch_is_passive(g->watch);
@@ -144,13 +163,19 @@
 	msg->store_era = watch_answer_era(g->watch);
 }
 
-static void send_heartbeat(struct gateway *g, struct gateway_peer *p, Bc__Pulse *msg)
+static void send_heartbeat(struct gateway *g, struct gateway_peer *p, const Bc__Pulse *filled)
 {
 	Bc__Frame frame = BC__FRAME__INIT;
-
-	msg->interval_ms = (uint32_t)heartbeat_interval(g, p);
+	Bc__Pulse msg = *filled;
+
+	msg.interval_ms = (uint32_t)heartbeat_interval(g, p);
+	msg.sent_ms = msg.n_keeper ? (uint64_t)clk_now() : 0;
+	if (p->n_manages)
+		msg.echo_ms = p->asked_ms;
+	else
+		msg.n_follows = 0;
 	frame.body_case = BC__FRAME__BODY_PULSE;
-	frame.pulse = msg;
+	frame.pulse = &msg;
 	p->heartbeat_sent = clk_now();
 	ctr_inc(&ctr_heartbeats_sent);
 	peer_send(g->peers, p->node, &frame);
@@ -173,7 +198,7 @@
 	return true;
 }
 
-static void send_heartbeats(struct gateway *g, enum audience audience, clk_ms now)
+static void send_heartbeats(struct gateway *g, enum audience audience, bool ask, clk_ms now)
 {
 	struct arena arena = ARENA_INIT;
 	struct gateway_peer *p;
@@ -181,6 +206,7 @@
 	Bc__Pulse msg;
 
 	fill_heartbeat(g, &arena, &msg);
+	msg.ask = ask;
 	HASH_ITER (hh, g->peer_states, p, tmp) {
 		if (!is_in_audience(g, p, audience, now))
 			continue;
@@ -193,29 +219,39 @@
 
 void gateway_send_heartbeat(struct gateway *g, bool all_regions)
 {
-	send_heartbeats(g, all_regions ? AUDIENCE_ALL : AUDIENCE_REGION, clk_now());
+	send_heartbeats(g, all_regions ? AUDIENCE_ALL : AUDIENCE_REGION, false, clk_now());
 }
 
 void gateway_send_due_heartbeats(struct gateway *g, clk_ms now)
 {
-	send_heartbeats(g, AUDIENCE_DUE, now);
+	send_heartbeats(g, AUDIENCE_DUE, false, now);
 }
 
-static void send_first_heartbeat(struct gateway *g, struct gateway_peer *p)
+void gateway_ask_peers(void *gateway)
+{
+	send_heartbeats(gateway, AUDIENCE_ALL, true, clk_now());
+}
+
+/* Sends a peer a heartbeat before it is due. */
+static void send_heartbeat_now(struct gateway *g, struct gateway_peer *p)
 {
 	struct arena arena = ARENA_INIT;
 	Bc__Pulse msg;
 
-	if (MUTANT(gateway_greet_all)) {
-		gateway_send_heartbeat(g, true);
-		return;
-	}
 	fill_heartbeat(g, &arena, &msg);
 	ctr_inc(&ctr_unscheduled);
 	send_heartbeat(g, p, &msg);
 	arena_free(&arena);
 }
 
+static void send_first_heartbeat(struct gateway *g, struct gateway_peer *p)
+{
+	if (MUTANT(gateway_greet_all))
+		gateway_send_heartbeat(g, true);
+	else
+		send_heartbeat_now(g, p);
+}
+
 /*
  * Returns how long newer rows of a peer may be missing until they are requested from it: a reader
  * sends them by itself soon after it has them, but not while this gateway reads, so that one that
@@ -277,12 +313,66 @@
 		storeseen_heard(&g->peers_store, msg->store_era, p->store_answered_at);
 }
 
+/* Whether the peer is shard manager of the service; sets the term of the role. */
+static bool manages(const struct gateway_peer *p, uint64_t service, uint64_t *term)
+{
+	for (size_t i = 0; i < p->n_manages; i++) {
+		if (p->manages[i].service == service) {
+			*term = p->manages[i].term;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Whether the peer has a role that it did not name before: it waits for consent to its term. */
+static bool names_new_term(const struct gateway_peer *p, const Bc__Pulse *msg)
+{
+	for (size_t i = 0; i < msg->n_keeper; i++) {
+		uint64_t term;
+
+		if (!manages(p, str_hash(str_from(msg->keeper[i]->service)), &term) ||
+		    term != msg->keeper[i]->term)
+			return !MUTANT(gateway_answer_later);
+	}
+	return false;
+}
+
+/* Records what a peer says of the roles of this gateway; a higher term ends the role. */
+static void on_followed(struct gateway *g, const struct gateway_peer *p, const Bc__Pulse *msg)
+{
+	for (size_t i = 0; i < msg->n_follows; i++) {
+		const Bc__KeeperTerm *followed = msg->follows[i];
+		struct gateway_service *s = gateway_keyed_service(g, followed->service);
+
+		if (!s || !shardmgr_is_active(s->shardmgr))
+			continue;
+		if (followed->term > shardmgr_term(s->shardmgr)) {
+			shardmgr_observe_term(s->shardmgr, followed->term);
+			continue;
+		}
+		voters_heard(&s->voters,
+			     &(struct vote){
+				     .id = p->id,
+				     .node = p->node,
+				     .age = followed->process_ms,
+				     .follows = followed->term,
+				     .before = followed->before,
+				     .asked_at = (clk_ms)msg->echo_ms,
+			     },
+			     clk_now());
+		shardmgr_votes_changed(s->shardmgr);
+	}
+}
+
 /*
  * Updates the state of a peer from its heartbeat; `msg->keeper` lists the services for which the
  * peer is shard manager. Requests ownership maps and table rows that the peer has newer.
  */
 static void on_heartbeat(struct gateway *g, struct gateway_peer *p, const Bc__Pulse *msg)
 {
+	bool answer_now = msg->ask || names_new_term(p, msg);
+
 	p->draining = msg->draining;
 	p->store_ok = msg->store_ok;
 	p->store_ms = msg->store_ms;
@@ -296,9 +386,11 @@
 	p->reads = msg->reads;
 	p->read_failed = msg->read_failed;
 	p->n_manages = 0;
+	p->asked_ms = msg->sent_ms;
 	if (!is_registered(g, p))
 		return;
 	note_peer_store(g, p, msg);
+	on_followed(g, p, msg);
 	for (size_t i = 0; i < msg->n_keeper && p->n_manages < GATEWAY_MAX_MANAGED; i++) {
 		struct gateway_service *s = gateway_keyed_service(g, msg->keeper[i]->service);
 
@@ -312,6 +404,8 @@
 		shardmgr_observe_term(s->shardmgr, msg->keeper[i]->term);
 		gateway_check_map(g, s, p->node, msg->keeper[i]->term, msg->keeper[i]->version);
 	}
+	if (answer_now)
+		send_heartbeat_now(g, p);
 	watch_report_peer_row(g->watch, META_CONFIG, msg->config_row);
 	watch_report_peer_row(g->watch, META_UPSTREAMS, msg->upstreams_row);
 	catch_up(g, p, msg);
@@ -416,6 +510,7 @@
 {
 	struct gateway *g = data;
 	struct gateway_peer *p = gateway_find_peer(g, peer->node);
+	struct gateway_service *s;
 	struct gateway_member *m;
 
 	if (!p) {
@@ -431,6 +526,8 @@
 	g->mesh_changed = true;
 	HASH_FIND_STR(g->members, peer->id, m);
 	p->hub = m && m->hub;
+	for (s = g->services; s; s = s->hh.next)
+		voters_connected(&s->voters, p->id, p->node, clk_now());
 	send_first_heartbeat(g, p);
 	gateway_send_maps(g, p);
 }
@@ -490,18 +587,6 @@
 
 /* ---- roles ---------------------------------------------------------------------------------- */
 
-/* Whether the peer is shard manager of the service; sets the term of the role. */
-static bool manages(const struct gateway_peer *p, uint64_t service, uint64_t *term)
-{
-	for (size_t i = 0; i < p->n_manages; i++) {
-		if (p->manages[i].service == service) {
-			*term = p->manages[i].term;
-			return true;
-		}
-	}
-	return false;
-}
-
 struct gateway_peer *gateway_find_shardmgr(struct gateway *g, uint64_t service, clk_ms now)
 {
 	struct gateway_peer *best = NULL;
@@ -720,27 +805,52 @@
 	}
 }
 
-bool gateway_peers_agree(void *gateway, const char *service, uint64_t term)
+void gateway_electorate(void *gateway, struct electorate *out)
+{
+	const struct gateway *g = gateway;
+	const struct gateway_member *m;
+
+	out->n = 0;
+	for (m = g->members; m; m = m->hh.next) {
+		if (m->hub)
+			electorate_add(out, m->id_hash);
+	}
+}
+
+void gateway_role_confirmed(void *gateway, const char *service, clk_ms sent)
+{
+	struct gateway_service *s = gateway_keyed_service(gateway, service);
+
+	if (s)
+		voters_role_confirmed(&s->voters, sent);
+}
+
+bool gateway_peers_support(void *gateway, const char *service, const struct electorate *e,
+			   uint64_t term, clk_ms since)
 {
 	struct gateway *g = gateway;
-	uint64_t id = str_hash(str_from(service));
-	clk_ms now = clk_now();
-	size_t heartbeat_received = 1; /* gateways with a recent heartbeat, this one included */
-	struct gateway_peer *p;
+	const struct gateway_service *s = gateway_keyed_service(g, service);
 
-	for (p = g->peer_states; p; p = p->hh.next) {
-		uint64_t other;
+	return s && voters_support(&s->voters, e, str_hash(str_from(g->id)), term, since);
+}
 
-		if (manages(p, id, &other) && other > term)
-			return false;
-		if (now - p->heartbeat_received > MAX_HEARTBEAT_AGE_MS)
-			continue;
-		/* This peer reaches the store, so it may have taken the role. */
-		if (p->store_ok)
-			return false;
-		heartbeat_received++;
-	}
-	return heartbeat_received * 2 > HASH_COUNT(g->members);
+bool gateway_peers_consent(void *gateway, const char *service, const struct electorate *e,
+			   uint64_t term)
+{
+	struct gateway *g = gateway;
+	const struct gateway_service *s = gateway_keyed_service(g, service);
+
+	return s && voters_consent(&s->voters, e, str_hash(str_from(g->id)), term);
+}
+
+bool gateway_peers_knew_none_above(void *gateway, const char *service, const struct electorate *e,
+				   uint64_t term, uint64_t last, clk_ms since)
+{
+	struct gateway *g = gateway;
+	const struct gateway_service *s = gateway_keyed_service(g, service);
+
+	return s &&
+	       voters_knew_none_above(&s->voters, e, str_hash(str_from(g->id)), term, last, since);
 }
 
 /* Connections that go silent are closed: see TIMEOUT_INTERVALS. */
--- a/src/process/gateway_priv.h
+++ b/src/process/gateway_priv.h
@@ -79,6 +79,8 @@
 	clk_ms store_answered_at;  /* when the store last answered the peer, by the local clock */
 	/* Era of the store for which gateway_request_config() asked it last, 0: not yet. */
 	uint64_t config_era;
+	/* The peer's clock when it sent its last heartbeat as shard manager, 0: it is none. */
+	uint64_t asked_ms;
 	size_t n_manages; /* length of `manages` */
 	/* Services for which the peer is shard manager. */
 	struct gateway_managed manages[GATEWAY_MAX_MANAGED];
@@ -98,6 +100,7 @@
 	clk_ms map_requested_at; /* last request for the whole ownership map */
 	unsigned map_requests;	 /* such requests since a map was applied last */
 	struct manager_end manager_end;
+	struct voters voters; /* what the others say of the role, while this gateway has it */
 	/*
 	 * Keys of requests that this gateway received as admission controller since its last
 	 * report to the shard manager; a key is repeated for each request.
@@ -284,12 +287,17 @@
  * name), NULL if no peer with a recent heartbeat is shard manager.
  */
 struct gateway_peer *gateway_find_shardmgr(struct gateway *g, uint64_t service, clk_ms now);
-/*
- * Whether this gateway, shard manager in the given term, may act without the store: no peer
- * reports a higher term, no peer with a recent heartbeat reaches the store, and those peers with
- * this gateway are a majority of the registered gateways.
- */
-bool gateway_peers_agree(void *gateway, const char *service, uint64_t term);
+/* The gateways that vote about roles of shard managers are the hubs. */
+void gateway_electorate(void *gateway, struct electorate *out);
+/* See the callbacks of these names in shardmgr.h. */
+void gateway_role_confirmed(void *gateway, const char *service, clk_ms sent);
+bool gateway_peers_support(void *gateway, const char *service, const struct electorate *e,
+			   uint64_t term, clk_ms since);
+void gateway_ask_peers(void *gateway);
+bool gateway_peers_knew_none_above(void *gateway, const char *service, const struct electorate *e,
+				   uint64_t term, uint64_t last, clk_ms since);
+bool gateway_peers_consent(void *gateway, const char *service, const struct electorate *e,
+			   uint64_t term);
 /* Whether a shard manager that is connected says that the store does not answer it. */
 bool gateway_shardmgr_lacks_store(const struct gateway *g);
 /* Whether most hubs are connected, this gateway counted as one. */
--- a/src/process/shardmgr.c
+++ b/src/process/shardmgr.c
@@ -310,10 +310,17 @@
 	mgr->env.on_role(mgr->env.data, mgr->service, false);
 }
 
+void shardmgr_follow_term(struct shardmgr *mgr, uint64_t term)
+{
+	if (term <= mgr->seen_term)
+		return;
+	mgr->former_term = mgr->seen_term;
+	mgr->seen_term = term;
+}
+
 void shardmgr_observe_term(struct shardmgr *mgr, uint64_t term)
 {
-	if (term > mgr->seen_term)
-		mgr->seen_term = term;
+	shardmgr_follow_term(mgr, term);
 	if (term > mgr->term) {
 		shardmgr_step_down(mgr, "another gateway has a higher term");
 		mgr->term = term;
@@ -535,20 +542,24 @@
  */
 static bool may_act(const struct shardmgr *mgr, clk_ms now)
 {
-	if (now - mgr->confirmed_at < SHARDMGR_STORE_SILENCE_MS || MUTANT(keeper_never_isolated))
+	if (now - mgr->confirmed_at < SHARDMGR_CONFIRMED_MS || MUTANT(keeper_never_isolated))
 		return true;
-	return mgr->env.peers_agree(mgr->env.data, mgr->service, mgr->term);
+	return shardmgr_is_supported(mgr, now - SHARDMGR_CONFIRMED_MS);
 }
 
 static void run_tick(struct shardmgr *mgr, clk_ms now)
 {
+	shardmgr_update_votes(mgr, now);
 	if (now >= mgr->next_plan && !mgr->writing_serial && watch_store_ok(mgr->env.watch) &&
-	    !mgr->stopping) {
+	    !mgr->stopping && mgr->settled) {
 		mgr->next_plan = now + PLAN_INTERVAL_MS;
 		run_plan(mgr, now);
 	}
+	if (mgr->awaits_support)
+		mgr->awaits_support = !shardmgr_is_supported(mgr, mgr->restored_at) &&
+				      now - mgr->restored_at <= SHARDMGR_CONFIRMED_MS;
 	if (mgr->serial != mgr->committed_serial && !mgr->writing_serial && !mgr->reading &&
-	    now >= mgr->next_commit)
+	    now >= mgr->next_commit && !mgr->awaits_support)
 		shardmgr_commit(mgr);
 	shardmgr_lease_tick(mgr, now);
 }
@@ -566,6 +577,7 @@
 {
 	struct shardmgr *mgr = data;
 	clk_ms now = clk_now();
+	bool acts;
 
 	if (mgr->state != SHARDMGR_ACTIVE)
 		return;
@@ -574,7 +586,13 @@
 	mgr->last_tick = now;
 	if (!mgr->confirming && now - mgr->confirm_sent >= SHARDMGR_CONFIRM_MS)
 		shardmgr_confirm_role(mgr);
-	if (may_act(mgr, now))
+	acts = may_act(mgr, now);
+	if (acts == mgr->suspended)
+		log_warn(&log, "the role for %s is %s by the store or most of the electorate%s",
+			 mgr->service, acts ? "confirmed again" : "not confirmed",
+			 acts ? "" : "; leases are not renewed");
+	mgr->suspended = !acts;
+	if (acts)
 		run_tick(mgr, now);
 	if (mgr->publish_due)
 		publish_now(mgr);
@@ -626,3 +644,13 @@
 {
 	return mgr->term;
 }
+
+uint64_t shardmgr_followed_term(const struct shardmgr *mgr)
+{
+	return mgr->seen_term;
+}
+
+uint64_t shardmgr_former_term(const struct shardmgr *mgr)
+{
+	return mgr->former_term;
+}
--- a/src/process/shardmgr.h
+++ b/src/process/shardmgr.h
@@ -11,7 +11,9 @@
  * A successor leaves all keys with their owners: granting keys to their owner again under a higher
  * fencing token is always safe. Only a move could give keys two owners. Before the new owner is
  * granted the keys, the former owner releases them under the new fencing token, or its lease
- * expires.
+ * expires. A successor moves no keys, and takes no lease of its predecessor as expired, before most
+ * gateways of the electorate in the row of the role have consented to its term: until then the
+ * predecessor may act without the store, see voters.h.
  */
 #ifndef PROCESS_SHARDMGR_H
 #define PROCESS_SHARDMGR_H
@@ -26,6 +28,7 @@
 #include "process/fleet.h"
 #include "process/keymap.h"
 #include "process/platform.h"
+#include "process/voters.h"
 #include "process/watch.h"
 #include "proto/bamboocroft.pb-c.h"
 
@@ -53,11 +56,21 @@
 	void (*on_owners)(void *data, const char *service);
 	/* Called after this gateway acquired (`active`) or lost the role of shard manager. */
 	void (*on_role)(void *data, const char *service, bool active);
-	/*
-	 * Whether the reachable gateways rule out that another gateway became shard manager after
-	 * `term`. Called while the store does not answer.
-	 */
-	bool (*peers_agree)(void *data, const char *service, uint64_t term);
+	/* Sets the gateways that may vote about the role, as far as this one knows them. */
+	void (*electorate)(void *data, struct electorate *out);
+	/* The store confirmed the role at `sent` or later: see voters_role_confirmed(). */
+	void (*role_confirmed)(void *data, const char *service, clk_ms sent);
+	/* See voters_support(). */
+	bool (*peers_support)(void *data, const char *service, const struct electorate *e,
+			      uint64_t term, clk_ms since);
+	/* See voters_knew_none_above(). */
+	bool (*peers_knew_none_above)(void *data, const char *service, const struct electorate *e,
+				      uint64_t term, uint64_t last, clk_ms since);
+	/* Asks the other gateways to answer at once whether they support the role. */
+	void (*ask_peers)(void *data);
+	/* See voters_consent(). */
+	bool (*peers_consent)(void *data, const char *service, const struct electorate *e,
+			      uint64_t term);
 	/* Whether this gateway hears from most gateways that may become shard manager. */
 	bool (*hears_most)(void *data);
 	/* Whether this gateway hears from all gateways that may become shard manager. */
@@ -91,6 +104,13 @@
 bool shardmgr_is_unsure(const struct shardmgr *mgr);
 /* Returns the highest term of any shard manager of the service that is known here. */
 uint64_t shardmgr_term(const struct shardmgr *mgr);
+/* Returns the highest term in which a gateway was seen to have the role; no lower one is followed.
+ */
+uint64_t shardmgr_followed_term(const struct shardmgr *mgr);
+/* Returns the highest term of that kind before this one, 0 if there was none. */
+uint64_t shardmgr_former_term(const struct shardmgr *mgr);
+/* What other gateways say of the role has changed. */
+void shardmgr_votes_changed(struct shardmgr *mgr);
 /*
  * Starts an attempt to acquire the role, unless this gateway has it, is stopping, or waits for
  * answers to calls of an earlier term.
--- a/src/process/shardmgr_lease.c
+++ b/src/process/shardmgr_lease.c
@@ -91,11 +91,25 @@
 	call_free(c);
 }
 
+/* Makes a lease end later; one that a former shard manager may renew has no known end. */
+static void extend_lease(clk_ms *end, clk_ms to)
+{
+	if (*end < to)
+		*end = to;
+}
+
+/* The upstream accepted a grant of this shard manager, and refuses those of a former one. */
+static void bound_lease(clk_ms *end, clk_ms to)
+{
+	if (*end == SHARDMGR_LEASE_UNBOUNDED)
+		*end = to;
+}
+
 /* Records a grant without an answer: the owner may carry it out until its lease would end. */
 static void record_unanswered_grant(const struct shardmgr *mgr, struct key_range *r, uint64_t fence,
 				    clk_ms now)
 {
-	r->unanswered_until = shardmgr_lease_end(mgr, now);
+	extend_lease(&r->unanswered_until, shardmgr_lease_end(mgr, now));
 	r->unanswered_fence = fence;
 }
 
@@ -191,6 +205,7 @@
 	/* From now on the owner refuses unanswered grants under a lower fencing token. */
 	if (c->fence > r->unanswered_fence)
 		r->unanswered_until = 0;
+	bound_lease(&r->owner_lease_end, shardmgr_lease_end(mgr, now));
 	r->next_call = c->sent + (clk_ms)(shardmgr_lease_time(mgr) * RENEW_SHARE);
 	if (!first_grant)
 		return;
@@ -232,6 +247,8 @@
 			r->higher_fence_attempts = SHARDMGR_HIGHER_FENCE_ATTEMPTS;
 		return;
 	}
+	if (a->result == UPCONN_OK && a->status == 200)
+		bound_lease(&r->former_lease_end, shardmgr_lease_end(mgr, now));
 	if (answered) {
 		r->higher_fence_attempts = 0;
 		return;
@@ -420,10 +437,8 @@
 	if (!release) {
 		h->grant_open = true;
 		/* Without an answer, the grant may arrive as late as the call times out. */
-		if (r->phase == KEY_RELEASING)
-			r->former_lease_end = shardmgr_lease_end(mgr, now + GRANT_TIMEOUT_MS);
-		else
-			r->owner_lease_end = shardmgr_lease_end(mgr, now + GRANT_TIMEOUT_MS);
+		extend_lease(r->phase == KEY_RELEASING ? &r->former_lease_end : &r->owner_lease_end,
+			     shardmgr_lease_end(mgr, now + GRANT_TIMEOUT_MS));
 	}
 	ctr_inc(release ? &ctr_releases : &ctr_grants);
 	/*
@@ -494,7 +509,7 @@
 /* Whether the owner may be sent grants of the range; a successor knows only the stored map. */
 static bool may_grant(const struct shardmgr *mgr, const struct key_range *r)
 {
-	return (r->phase == KEY_GRANTING || r->phase == KEY_LEASED) &&
+	return (r->phase == KEY_GRANTING || r->phase == KEY_LEASED) && !mgr->view_term &&
 	       (r->serial <= mgr->committed_serial || MUTANT(keeper_act_early));
 }
 
@@ -572,7 +587,8 @@
 				renew_former_step(mgr, r, now);
 			continue;
 		}
-		if (r->phase == KEY_RELEASING)
+		/* A former shard manager that still acts would renew what is released here. */
+		if (r->phase == KEY_RELEASING && mgr->settled)
 			release_step(mgr, r, now);
 		if (may_grant(mgr, r))
 			grant_step(mgr, r, now);
--- a/src/process/shardmgr_priv.h
+++ b/src/process/shardmgr_priv.h
@@ -16,10 +16,28 @@
 /* Size of the buffer for the path of a health check, with its terminating NUL. */
 #define SHARDMGR_PATH_BYTES 256
 /*
- * After this time without an answer of the store, the shard manager acts only if its peers rule out
- * that it was replaced.
+ * A confirmation of the role by the store, or by most of the electorate, permits the shard manager
+ * to act for this long after the question was sent.
  */
-#define SHARDMGR_STORE_SILENCE_MS 2000
+#define SHARDMGR_CONFIRMED_MS 2000
+/*
+ * A replaced shard manager sends no grant later than this after its store's last confirmation of
+ * the role, or after most of its electorate has consented to a higher term.
+ */
+#define SHARDMGR_FORMER_RENEWAL_MS (SHARDMGR_CONFIRMED_MS + 1500)
+/* End of a lease that a former shard manager may still renew. */
+#define SHARDMGR_LEASE_UNBOUNDED CLK_NEVER
+/* A store is restored from a copy that is not older than this. */
+#define SHARDMGR_COPY_AGE_MS 15000
+/* The electorate is changed once another choice of gateways has been the same for this long. */
+#define SHARDMGR_ELECTORATE_STABLE_MS 10000
+/*
+ * A replaced electorate still has to support the shard manager for this long, since a restored
+ * store may name it again.
+ */
+#define SHARDMGR_ELECTORATE_KEPT_MS (2 * SHARDMGR_COPY_AGE_MS)
+/* Most electorates of which the shard manager needs the support at the same time. */
+#define SHARDMGR_MAX_ELECTORATES 4
 /* Opening a connection to an upstream for longer than this fails. */
 #define SHARDMGR_CONNECT_TIMEOUT_MS 400
 /* Interval of the calls that confirm the role, and the time that each waits for a change. */
@@ -165,7 +183,31 @@
 	bool stopping;	  /* planned stop: see shardmgr_resign() */
 	/* role */
 	uint64_t term;
-	uint64_t seen_term;	 /* highest term in which a gateway was seen to have the role */
+	uint64_t seen_term;   /* highest term in which a gateway was seen to have the role */
+	uint64_t former_term; /* the same before that one */
+	bool suspended;	      /* does not act, since nobody confirms the role */
+	bool has_former;      /* another shard manager had the role before this one, or may have */
+	bool settled; /* there is none, or most of the electorate has consented to this one */
+	/*
+	 * Term of the map for requests that corrects the map of a restored store, 0: none does. No
+	 * keys are granted before it is known to be the last one.
+	 */
+	uint64_t view_term;
+	clk_ms loaded_at;    /* when the role was read to acquire it */
+	bool consent_missed; /* the log says that most of the electorate has not consented yet */
+	/* The first one is that of the row; to act without the store needs the support of all. */
+	struct {
+		struct electorate who;
+		clk_ms until; /* when it is dropped, CLK_NEVER: not yet */
+	} electorates[SHARDMGR_MAX_ELECTORATES];
+	size_t n_electorates;
+	bool electorate_due; /* the last one is to be written to the row */
+	/* Choice of gateways that differs from the row, and since when it has been the same. */
+	struct electorate next_electorate;
+	clk_ms next_electorate_since;
+	uint64_t restored_era;	 /* highest era in which the restored store was read */
+	clk_ms restored_at;	 /* when it was first read in that era */
+	bool awaits_support;	 /* to write role and map again in that era */
 	uint64_t era;		 /* era of the store in which role and map are written */
 	uint64_t writing_term;	 /* term of the last write of the role, done or not */
 	uint64_t writing_era;	 /* era of the write of role and map that is under way */
@@ -213,6 +255,8 @@
 };
 
 /* shardmgr.c */
+/* Records a term in which a gateway has the role. */
+void shardmgr_follow_term(struct shardmgr *mgr, uint64_t term);
 /* Marks the range as changed: grants and releases for the change wait until the map is written. */
 void shardmgr_mark_changed(struct shardmgr *mgr, struct key_range *r);
 /* Makes the next tick of the timer come soon. */
@@ -235,7 +279,28 @@
 /* Gives up the role or the attempt to acquire it; `why` is for the log. */
 void shardmgr_step_down(struct shardmgr *mgr, const char *why);
 
+/* shardmgr_voters.c */
+/* Whether most gateways of all electorates support the role, asked at `since` or later. */
+bool shardmgr_is_supported(const struct shardmgr *mgr, clk_ms since);
+/*
+ * Ends the wait for a former shard manager once most of the electorate has consented to this one,
+ * and changes the electorate if other gateways should vote.
+ */
+void shardmgr_update_votes(struct shardmgr *mgr, clk_ms now);
+/* Starts with the electorate of the row of a role; an empty one stands for the gateways known. */
+void shardmgr_load_electorate(struct shardmgr *mgr, const struct electorate *stored,
+			      bool has_former);
+/* Returns the electorate that the row of the role is to name. */
+const struct electorate *shardmgr_row_electorate(const struct shardmgr *mgr);
+/* The store has the row of the role with that electorate. */
+void shardmgr_electorate_written(struct shardmgr *mgr);
+
 /* shardmgr_row.c */
+/*
+ * The map for requests that corrected the map of a restored store is not the last one: all keys
+ * wait until every lease has expired that a former shard manager may have granted.
+ */
+void shardmgr_distrust_view(struct shardmgr *mgr);
 /* Writes the map, provided that the rows of role and map have the versions known here. */
 void shardmgr_commit(struct shardmgr *mgr);
 /*
--- a/src/process/shardmgr_row.c
+++ b/src/process/shardmgr_row.c
@@ -1,7 +1,8 @@
 /*
  * The shard manager's rows of the store: acquires the role, writes the ownership map, and confirms
- * that this gateway still has the role. The row of the role holds the term; the row of the map
- * holds the ranges, their owners and former owners, and the highest fencing token reserved.
+ * that this gateway still has the role. The row of the role holds the term and the electorate; the
+ * row of the map holds the ranges, their owners and former owners, and the highest fencing token
+ * reserved.
  */
 #include "process/shardmgr_priv.h"
 
@@ -15,8 +16,6 @@
 
 /* Pause before the next write of the map, after a write or a reread of its row failed. */
 #define COMMIT_RETRY_MS 200
-/* A replaced shard manager that cannot be reached renews leases at most this long. */
-#define FORMER_MGR_RENEWAL_MS (SHARDMGR_STORE_SILENCE_MS + 1500)
 
 static void *pack_map(struct shardmgr *mgr, size_t *len);
 
@@ -28,7 +27,7 @@
 /* Size of the buffer for the key of a row, with its terminating NUL. */
 #define KEY_BYTES (FLEET_NAME_BYTES + 32)
 /* Size of the buffer for the value of the row of the role. */
-#define ROLE_VALUE_BYTES 48
+#define ROLE_VALUE_BYTES (48 + ELECTORATE_TEXT_BYTES)
 
 /* ---- rows ----------------------------------------------------------------------------------- */
 
@@ -107,11 +106,17 @@
 	return MUTANT(keeper_no_era) ? 0 : era << SHARDMGR_ERA_SHIFT;
 }
 
-/* Returns the value of the row of the role: "TERM NODE", the node in hexadecimal digits. */
+/*
+ * Returns the value of the row of the role: "TERM NODE ID,...", node and ids of the electorate in
+ * hexadecimal digits.
+ */
 static struct str role_value(const struct shardmgr *mgr, char buf[ROLE_VALUE_BYTES])
 {
-	snprintf(buf, ROLE_VALUE_BYTES, "%llu %016llx", (unsigned long long)mgr->writing_term,
-		 (unsigned long long)mgr->env.node);
+	char voters[ELECTORATE_TEXT_BYTES];
+
+	electorate_write(shardmgr_row_electorate(mgr), voters);
+	snprintf(buf, ROLE_VALUE_BYTES, "%llu %016llx %s", (unsigned long long)mgr->writing_term,
+		 (unsigned long long)mgr->env.node, voters);
 	return str_from(buf);
 }
 
@@ -131,14 +136,40 @@
 /* Whether this process wrote the row of a role. */
 static bool is_own_role(const struct shardmgr *mgr, const struct meta_row *role)
 {
-	char node[ROLE_VALUE_BYTES];
+	char node[17];
 	struct str text;
+	struct str voters;
 
 	if (!role)
 		return false;
 	str_split(role->value, ' ', &text);
 	snprintf(node, sizeof(node), "%016llx", (unsigned long long)mgr->env.node);
-	return str_eq_cstr(text, node);
+	return str_eq_cstr(str_split(text, ' ', &voters), node);
+}
+
+/* Whether this process wrote the row of the role in that term. */
+static bool is_own_term(const struct shardmgr *mgr, const struct meta_row *role, uint64_t term)
+{
+	return is_own_role(mgr, role) && stored_term(mgr, role) == term;
+}
+
+/* Reads the electorate in the row of a role; it is empty if there is none or it is invalid. */
+static void stored_electorate(const struct shardmgr *mgr, const struct meta_row *role,
+			      struct electorate *out)
+{
+	struct str text;
+	struct str voters;
+
+	out->n = 0;
+	if (!role)
+		return;
+	str_split(role->value, ' ', &text);
+	str_split(text, ' ', &voters);
+	if (!electorate_read(out, voters))
+		log_error(&log,
+			  "the electorate in the row of %s is invalid; the gateways known "
+			  "here vote instead",
+			  mgr->service);
 }
 
 static void raise_to(uint64_t *value, uint64_t floor)
@@ -249,7 +280,6 @@
 {
 	Bc__KeyRow *map = row ? unpack_map(mgr, row) : NULL;
 	struct key_range **end = &mgr->ranges;
-	clk_ms last_lease_end = shardmgr_lease_end(mgr, now + FORMER_MGR_RENEWAL_MS);
 	uint32_t from = 0;
 
 	shardmgr_ranges_clear(mgr);
@@ -274,10 +304,10 @@
 		r->phase = former && (r->owner || !MUTANT(keeper_forget_holder)) ? KEY_RELEASING
 			   : r->owner						 ? KEY_GRANTING
 										 : KEY_UNOWNED;
-		r->former_lease_end = last_lease_end;
-		r->owner_lease_end = last_lease_end;
+		r->former_lease_end = SHARDMGR_LEASE_UNBOUNDED;
+		r->owner_lease_end = SHARDMGR_LEASE_UNBOUNDED;
 		r->second_former = upstream_at(map, map->second_former[i]);
-		r->second_former_lease_end = last_lease_end;
+		r->second_former_lease_end = SHARDMGR_LEASE_UNBOUNDED;
 		r->owner_may_hold = r->phase == KEY_RELEASING && r->owner;
 		r->moved_at = now;
 		/*
@@ -285,7 +315,7 @@
 		 * not sent a higher fencing token: that would be a grant to it, and the owner may
 		 * already have a lease.
 		 */
-		r->unanswered_until = last_lease_end;
+		r->unanswered_until = SHARDMGR_LEASE_UNBOUNDED;
 		*end = r;
 		end = &r->next;
 	}
@@ -301,10 +331,10 @@
  * The holder of the range's keys is not known: grants wait until every lease has expired that a
  * former shard manager may have granted.
  */
-static void await_unknown_holder(struct key_range *r, clk_ms lease_end)
+static void await_unknown_holder(struct key_range *r)
 {
 	r->former = SHARDMGR_UNKNOWN_HOLDER;
-	r->former_lease_end = lease_end;
+	r->former_lease_end = SHARDMGR_LEASE_UNBOUNDED;
 	r->second_former = 0;
 	r->phase = KEY_RELEASING;
 	r->owner_may_hold = r->owner != 0;
@@ -314,7 +344,7 @@
  * Corrects a range of an older map by the owner that the last shard manager named in the map for
  * requests. Whoever else may have the keys releases them first.
  */
-static void correct_owner(struct key_range *r, uint64_t owner, clk_ms lease_end)
+static void correct_owner(struct key_range *r, uint64_t owner)
 {
 	const uint64_t possible[] = {r->former, r->second_former, r->owner};
 	uint64_t others[3] = {0};
@@ -322,7 +352,7 @@
 
 	if (!owner) {
 		/* In a move, or granted just now. */
-		await_unknown_holder(r, lease_end);
+		await_unknown_holder(r);
 		return;
 	}
 	for (size_t i = 0; i < 3; i++) {
@@ -330,15 +360,15 @@
 			others[n++] = possible[i];
 	}
 	r->owner = owner;
-	r->owner_lease_end = lease_end;
+	r->owner_lease_end = SHARDMGR_LEASE_UNBOUNDED;
 	if (n == 3) {
-		await_unknown_holder(r, lease_end);
+		await_unknown_holder(r);
 		return;
 	}
 	r->former = others[0];
-	r->former_lease_end = lease_end;
+	r->former_lease_end = SHARDMGR_LEASE_UNBOUNDED;
 	r->second_former = others[1];
-	r->second_former_lease_end = lease_end;
+	r->second_former_lease_end = SHARDMGR_LEASE_UNBOUNDED;
 	r->owner_may_hold = n > 0;
 	r->phase = n ? KEY_RELEASING : KEY_GRANTING;
 }
@@ -368,10 +398,8 @@
  * since are lost there, but gateways have the map for requests of the last shard manager.
  * `use_view`: this gateway got all maps for requests of the last shard manager.
  */
-static void correct_restored_map(struct shardmgr *mgr, bool use_view, clk_ms now)
+static void correct_restored_map(struct shardmgr *mgr, bool use_view)
 {
-	clk_ms lease_end = shardmgr_lease_end(mgr, now + FORMER_MGR_RENEWAL_MS);
-
 	if (MUTANT(keeper_trust_restored))
 		return;
 	if (use_view) {
@@ -379,10 +407,23 @@
 			shardmgr_split_before(mgr, mgr->view.ranges[i].from);
 	}
 	for (struct key_range *r = mgr->ranges; r; r = r->next)
-		correct_owner(r, use_view ? keymap_owner(&mgr->view, r->from) : 0, lease_end);
+		correct_owner(r, use_view ? keymap_owner(&mgr->view, r->from) : 0);
 	merge_loaded(mgr);
 }
 
+void shardmgr_distrust_view(struct shardmgr *mgr)
+{
+	log_warn(&log,
+		 "the map of %s that requests use may not be the last one; all leases have to "
+		 "expire",
+		 mgr->service);
+	for (struct key_range *r = mgr->ranges; r; r = r->next) {
+		r->serving = 0;
+		await_unknown_holder(r);
+	}
+	shardmgr_schedule_publish(mgr);
+}
+
 /* Returns the number of the upstream in the row, which is added if missing; 0 for none. */
 static uint32_t upstream_number(Bc__KeyRow *row, uint64_t upstream)
 {
@@ -441,6 +482,7 @@
 	mgr->role_version = role_version;
 	mgr->map_version = map_version;
 	mgr->fence_usable = mgr->fence_limit;
+	shardmgr_electorate_written(mgr);
 }
 
 /* The store confirmed the role, in answer to a call that was sent at `sent`. */
@@ -448,6 +490,7 @@
 {
 	mgr->confirmed_at = sent;
 	mgr->confirmed_in_era = sent;
+	mgr->env.role_confirmed(mgr->env.data, mgr->service, sent);
 }
 
 static void on_acquired(void *data, const struct meta_answer *a)
@@ -469,16 +512,18 @@
 	}
 	mgr->state = SHARDMGR_ACTIVE;
 	role_written(mgr, mgr->writing_era, a->version, a->version);
-	mgr->seen_term = mgr->term;
+	shardmgr_follow_term(mgr, mgr->term);
 	mgr->store_version = a->version;
 	/* This process may have been paused since, and another gateway may have the role now. */
-	mgr->confirmed_at = MUTANT(keeper_confirm_late) ? now : mgr->request_sent;
-	mgr->confirmed_in_era = mgr->request_sent;
+	role_confirmed(mgr, mgr->request_sent);
+	if (MUTANT(keeper_confirm_late))
+		mgr->confirmed_at = now;
 	mgr->last_tick = mgr->request_sent;
 	mgr->committed_serial = mgr->serial;
 	mgr->writing_serial = 0;
 	mgr->reading = false;
 	mgr->reread_needed = false;
+	mgr->awaits_support = false;
 	mgr->next_plan = now;
 	mgr->n_requests = 0;
 	ctr_inc(&ctr_terms);
@@ -497,8 +542,8 @@
  * Loads the stored map to acquire the role in an era of the store. Returns false if its row is
  * invalid.
  */
-static bool load_stored(struct shardmgr *mgr, const struct meta_answer *a, uint64_t era,
-			bool use_view)
+static bool load_stored(struct shardmgr *mgr, const struct meta_answer *a,
+			const struct meta_row *role, uint64_t era, bool use_view)
 {
 	clk_ms now = clk_now();
 	uint64_t map_era;
@@ -506,16 +551,21 @@
 	bool lost = map ? map_era < era
 			: mgr->view.n || watch_was_restored(mgr->env.watch) ||
 				    (era > META_FIRST_ERA && !MUTANT(keeper_trust_no_map));
+	struct electorate electorate;
 
 	if (!load_map(mgr, map, now))
 		return false;
+	stored_electorate(mgr, role, &electorate);
+	shardmgr_load_electorate(mgr, &electorate, role || lost);
 	if (lost) {
 		log_warn(&log,
 			 "the stored map of %s is from era %llu, before the store was restored; "
 			 "its owners are corrected by %s",
 			 mgr->service, (unsigned long long)map_era,
 			 use_view ? "the map that requests use" : "waiting for all leases");
-		correct_restored_map(mgr, use_view, now);
+		correct_restored_map(mgr, use_view);
+		if (use_view)
+			mgr->view_term = mgr->view.term;
 	}
 	raise_to(&mgr->fence, era_floor(era));
 	mgr->fence += 2;
@@ -542,6 +592,7 @@
 {
 	struct shardmgr *mgr = data;
 	uint64_t era = meta_era(a->version);
+	const struct meta_row *role;
 	uint64_t role_era;
 	uint64_t term;
 
@@ -552,11 +603,12 @@
 		mgr->state = SHARDMGR_STANDBY;
 		return;
 	}
-	term = stored_term(mgr, newest_row(mgr, a, &role_rows, &role_era));
+	role = newest_row(mgr, a, &role_rows, &role_era);
+	term = stored_term(mgr, role);
 	raise_to(&mgr->term, term);
 	raise_to(&mgr->term, era_floor(era));
 	mgr->term++;
-	if (!load_stored(mgr, a, era, view_is_latest(mgr))) {
+	if (!load_stored(mgr, a, role, era, view_is_latest(mgr))) {
 		mgr->state = SHARDMGR_STANDBY;
 		return;
 	}
@@ -584,7 +636,7 @@
 	role_written(mgr, era, role_version, map_version);
 	mgr->confirmed_in_era = mgr->request_sent;
 	mgr->term = mgr->writing_term;
-	mgr->seen_term = mgr->term;
+	shardmgr_follow_term(mgr, mgr->term);
 	mgr->reread_needed = false;
 	mgr->next_commit = 0;
 	ctr_inc(&ctr_readopted);
@@ -643,7 +695,7 @@
 		return NULL;
 	/* In an outage for all, up to two such calls lie between the confirmation and the answers.
 	 */
-	if (others - confirmed > SHARDMGR_STORE_SILENCE_MS + delay || MUTANT(keeper_yield_unheard))
+	if (others - confirmed > SHARDMGR_CONFIRMED_MS + delay || MUTANT(keeper_yield_unheard))
 		return "the store answered others only, and may have lost that one that is not "
 		       "heard had it";
 	return NULL;
@@ -654,6 +706,42 @@
 	return mgr->state == SHARDMGR_ACTIVE && why_unsure(mgr, mgr->era + 1);
 }
 
+/* Its own view does not count any more: its leases have to expire. */
+static void give_up_restored(struct shardmgr *mgr, const char *why)
+{
+	shardmgr_follow_term(mgr, mgr->term + 1);
+	shardmgr_step_down(mgr, why);
+}
+
+/*
+ * Whether most gateways support the role after the store was restored. One that was consented to
+ * before, and that the store has lost, may have moved keys until then.
+ */
+static bool is_supported_since_restore(struct shardmgr *mgr, uint64_t era)
+{
+	if (mgr->restored_era != era) {
+		mgr->restored_era = era;
+		mgr->restored_at = clk_now();
+		mgr->env.ask_peers(mgr->env.data);
+	}
+	return shardmgr_is_supported(mgr, mgr->restored_at) || MUTANT(keeper_need_no_support);
+}
+
+/* The rows are read again once most gateways support the role; too late, it is given up. */
+static void await_support(struct shardmgr *mgr)
+{
+	if (clk_now() - mgr->restored_at > SHARDMGR_CONFIRMED_MS) {
+		give_up_restored(
+			mgr, "most gateways have not supported it since the store was restored");
+		return;
+	}
+	mgr->awaits_support = true;
+	mgr->reread_needed = true;
+	mgr->next_commit = 0;
+	if (mgr->serial == mgr->committed_serial)
+		mgr->serial++;
+}
+
 /*
  * The store was restored, and `a` has its rows. The owners are known here better than there: the
  * shard manager writes role and map again, unless another one was acknowledged after it.
@@ -667,19 +755,16 @@
 	const struct meta_row *map = newest_row(mgr, a, &map_rows, &map_era);
 	uint64_t term = stored_term(mgr, role);
 	const char *unsure = why_unsure(mgr, era);
-	char value[ROLE_VALUE_BYTES];
-	bool own = role && str_eq(role->value, role_value(mgr, value));
 
-	mgr->confirmed_at = mgr->request_sent;
-	if (role && role_era == era && own && map && map_era == era) {
+	if (role && role_era == era && is_own_term(mgr, role, mgr->writing_term) && map &&
+	    map_era == era) {
 		/* The answer to an earlier write was lost. */
+		mgr->confirmed_at = mgr->request_sent;
 		finish_readopting(mgr, era, role->version, map->version);
 		return;
 	}
 	if (unsure && !MUTANT(keeper_never_replaced)) {
-		/* Its own view does not count any more: its leases have to expire. */
-		mgr->seen_term = mgr->term + 1;
-		shardmgr_step_down(mgr, unsure);
+		give_up_restored(mgr, unsure);
 		return;
 	}
 	/* An earlier write without an answer may be done late. */
@@ -690,6 +775,11 @@
 		shardmgr_step_down(mgr, "the restored store names another gateway");
 		return;
 	}
+	if (!is_supported_since_restore(mgr, era)) {
+		await_support(mgr);
+		return;
+	}
+	mgr->confirmed_at = mgr->request_sent;
 	suspend_changes(mgr);
 	raise_to(&mgr->writing_term, mgr->term);
 	raise_to(&mgr->writing_term, era_floor(era));
@@ -725,10 +815,15 @@
 		return;
 	}
 	role = find_row(a, row_key(mgr, &role_rows, mgr->era, name));
-	if (!role || role->version != mgr->role_version) {
+	if (!role || (role->version != mgr->role_version && !is_own_term(mgr, role, mgr->term))) {
 		shardmgr_step_down(mgr, "the role belongs to another gateway");
 		return;
 	}
+	if (role->version != mgr->role_version) {
+		/* The answer to a write of another electorate was lost. */
+		mgr->role_version = role->version;
+		shardmgr_electorate_written(mgr);
+	}
 	map = find_row(a, row_key(mgr, &map_rows, mgr->era, name));
 	mgr->map_version = map ? map->version : 0;
 	if (a->version > mgr->store_version)
@@ -751,6 +846,7 @@
 {
 	struct shardmgr *mgr = data;
 	uint64_t serial = mgr->writing_serial;
+	bool restored_in_between;
 
 	call_ended(mgr, a);
 	mgr->writing_serial = 0;
@@ -761,19 +857,26 @@
 		mgr->map_version = a->version;
 		mgr->committed_serial = serial;
 		mgr->fence_usable = mgr->fence_limit;
+		if (mgr->electorate_due) {
+			mgr->role_version = a->version;
+			shardmgr_electorate_written(mgr);
+		}
 		role_confirmed(mgr, mgr->request_sent);
 		shardmgr_lease_committed(mgr);
 		shardmgr_schedule_tick(mgr);
 		return;
 	}
+	restored_in_between = (a->status == META_OK || a->status == META_CONFLICT) &&
+			      meta_era(a->version) > mgr->era;
 	log_info(&log, "the map of %s was not written: %s", mgr->service,
-		 a->status == META_OK ? "the store was restored" : meta_status_name(a->status));
+		 restored_in_between ? "the store was restored" : meta_status_name(a->status));
 	/*
 	 * A write that was not refused may have been done: read the rows before the next. In
 	 * another era, role and map are written again, see readopt().
 	 */
 	mgr->reread_needed = a->status != META_REFUSED;
-	mgr->next_commit = a->status == META_OK ? 0 : clk_now() + COMMIT_RETRY_MS;
+	mgr->next_commit =
+		a->status == META_OK || restored_in_between ? 0 : clk_now() + COMMIT_RETRY_MS;
 	shardmgr_schedule_tick(mgr);
 }
 
@@ -781,6 +884,7 @@
 {
 	char role_buf[KEY_BYTES];
 	char map_buf[KEY_BYTES];
+	char value[ROLE_VALUE_BYTES];
 	size_t len;
 	void *packed;
 
@@ -791,10 +895,14 @@
 	}
 	packed = pack_map(mgr, &len);
 	mgr->writing_serial = mgr->serial;
+	if (mgr->electorate_due)
+		mgr->writing_term = mgr->term;
 	struct meta_change changes[] = {
 		{.key = row_key(mgr, &role_rows, mgr->era, role_buf),
 		 .conditional = true,
-		 .expected = mgr->role_version},
+		 .expected = mgr->role_version,
+		 .write = mgr->electorate_due,
+		 .value = role_value(mgr, value)},
 		{.key = row_key(mgr, &map_rows, mgr->era, map_buf),
 		 .conditional = true,
 		 .expected = mgr->map_version,
@@ -832,7 +940,8 @@
 	if (a->status != META_OK)
 		return;
 	role = find_row(a, row_key(mgr, &role_rows, mgr->era, name));
-	if (role && role->version > mgr->role_version) {
+	/* This gateway may have written another electorate, and has no answer yet. */
+	if (role && role->version > mgr->role_version && !is_own_term(mgr, role, mgr->term)) {
 		shardmgr_step_down(mgr, "another gateway acquired the role");
 		return;
 	}
--- a/src/proto/bamboocroft.pb-c.c
+++ b/src/proto/bamboocroft.pb-c.c
@@ -6646,7 +6646,7 @@
   (ProtobufCMessageInit) bc__key_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__keeper_term__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bc__keeper_term__field_descriptors[6] =
 {
   {
     "service",
@@ -6696,8 +6696,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "before",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__KeeperTerm, before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bc__KeeperTerm, process_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__keeper_term__field_indices_by_name[] = {
+  4,   /* field[4] = before */
+  5,   /* field[5] = process_ms */
   0,   /* field[0] = service */
   1,   /* field[1] = term */
   3,   /* field[3] = unsure */
@@ -6706,7 +6732,7 @@
 static const ProtobufCIntRange bc__keeper_term__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bc__keeper_term__descriptor =
 {
@@ -6716,14 +6742,14 @@
   "Bc__KeeperTerm",
   "bc",
   sizeof(Bc__KeeperTerm),
-  4,
+  6,
   bc__keeper_term__field_descriptors,
   bc__keeper_term__field_indices_by_name,
   1,  bc__keeper_term__number_ranges,
   (ProtobufCMessageInit) bc__keeper_term__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bc__pulse__field_descriptors[17] =
 {
   {
     "draining",
@@ -6881,16 +6907,68 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, echo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "follows",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bc__Pulse, n_follows),
+    offsetof(Bc__Pulse, follows),
+    &bc__keeper_term__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bc__Pulse, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bc__pulse__field_indices_by_name[] = {
+  16,   /* field[16] = ask */
   3,   /* field[3] = config_row */
   6,   /* field[6] = cpu_millis */
   0,   /* field[0] = draining */
+  14,   /* field[14] = echo_ms */
+  15,   /* field[15] = follows */
   9,   /* field[9] = interval_ms */
   2,   /* field[2] = keeper */
   11,   /* field[11] = read_failed */
   8,   /* field[8] = reads */
   10,   /* field[10] = routers_row */
+  13,   /* field[13] = sent_ms */
   7,   /* field[7] = store_age_ms */
   12,   /* field[12] = store_era */
   5,   /* field[5] = store_ms */
@@ -6900,7 +6978,7 @@
 static const ProtobufCIntRange bc__pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor bc__pulse__descriptor =
 {
@@ -6910,7 +6988,7 @@
   "Bc__Pulse",
   "bc",
   sizeof(Bc__Pulse),
-  13,
+  17,
   bc__pulse__field_descriptors,
   bc__pulse__field_indices_by_name,
   1,  bc__pulse__number_ranges,
--- a/src/proto/bamboocroft.pb-c.h
+++ b/src/proto/bamboocroft.pb-c.h
@@ -978,10 +978,18 @@
    * another gateway may have the role without its knowledge
    */
   protobuf_c_boolean unsure;
+  /*
+   * in Pulse.follows: highest term that the sender followed before this one
+   */
+  uint64_t before;
+  /*
+   * in Pulse.follows: age of the sender's process
+   */
+  uint32_t process_ms;
 };
 #define BC__KEEPER_TERM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__keeper_term__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1034,10 +1042,27 @@
    * era of the store in its last answer, 0: there was none
    */
   uint64_t store_era;
+  /*
+   * clock of the sender, only from a shard manager
+   */
+  uint64_t sent_ms;
+  /*
+   * sent_ms of the receiver's last pulse, with `follows`
+   */
+  uint64_t echo_ms;
+  /*
+   * highest terms known to the sender, only to a shard manager
+   */
+  size_t n_follows;
+  Bc__KeeperTerm **follows;
+  /*
+   * the receiver answers with a pulse at once
+   */
+  protobuf_c_boolean ask;
 };
 #define BC__PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bc__pulse__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/standin/standin_rowstore.c
+++ b/standin/standin_rowstore.c
@@ -15,6 +15,9 @@
  *                             era rises by one; 400 if there is no copy
  *   POST /control {"era":"junk","era_answers":1}
  *                             the next answers have this text as their era; null: they have none
+ *   POST /control {"views":[{"address":2,"from":"TEXT","to":"TEXT"}]}
+ *                             values in answers at that service address (1 --listen, 2 --second)
+ *                             have the second text in place of the first
  *   GET /counts               returns the number of calls, the version and the era
  *
  * All answers on the service addresses have the header store-era, unless --era is 0.
@@ -34,6 +37,8 @@
 
 #define MAX_ROWS 1024
 #define ERA_TEXT_BYTES 256
+#define MAX_VIEWS 64
+#define VIEW_TEXT_BYTES 64
 
 struct row {
 	char *table;
@@ -91,6 +96,18 @@
 	struct ingress *ports[2];
 } service;
 
+/* A text that values in answers at a service address have in place of another. */
+struct view {
+	int address; /* as store.hang_address */
+	char from[VIEW_TEXT_BYTES];
+	char to[VIEW_TEXT_BYTES];
+};
+
+static struct {
+	struct view list[MAX_VIEWS];
+	size_t n;
+} views;
+
 static volatile sig_atomic_t stopping;
 
 static void on_signal(int signo)
@@ -241,19 +258,43 @@
 		store.era++;
 }
 
-static json_t *row_json(const struct row *r)
+/* Returns the value of a row as answers at the address have it. */
+static struct str value_at(const struct row *r, int address, struct arena *a)
+{
+	struct str value = {r->value, r->len};
+
+	for (size_t i = 0; i < views.n; i++) {
+		const struct view *v = &views.list[i];
+		const char *at = v->address == address
+					 ? memmem(value.ptr, value.len, v->from, strlen(v->from))
+					 : NULL;
+
+		if (!at)
+			continue;
+		value = arena_printf(a, "%.*s%s%.*s", (int)(at - value.ptr), value.ptr, v->to,
+				     (int)(value.len - (size_t)(at - value.ptr) - strlen(v->from)),
+				     at + strlen(v->from));
+	}
+	return value;
+}
+
+/* `address`: service address of the answer, as store.hang_address, or 0. */
+static json_t *row_json(const struct row *r, int address)
 {
 	json_t *out = json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part", "", "key", r->key,
 				"ver", (json_int_t)r->version);
-	char *text = malloc((r->len + 2) / 3 * 4 + 5);
+	struct arena arena = ARENA_INIT;
+	struct str value = value_at(r, address, &arena);
+	char *text = malloc((value.len + 2) / 3 * 4 + 5);
 
 	if (r->deleted) {
 		json_object_set_new(out, "deleted", json_true());
 	} else {
-		h2o_base64_encode(text, r->value, r->len, 0);
+		h2o_base64_encode(text, value.ptr, value.len, 0);
 		json_object_set_new(out, "value", json_string(text));
 	}
 	free(text);
+	arena_free(&arena);
 	return out;
 }
 
@@ -266,7 +307,7 @@
  * Returns the rows of a table with versions above `after`, sorted by key. Deleted rows are included
  * only if `deleted` is set.
  */
-static json_t *rows_json(const char *table, uint64_t after, bool deleted)
+static json_t *rows_json(const char *table, uint64_t after, bool deleted, int address)
 {
 	const struct row *found[MAX_ROWS];
 	json_t *out = json_array();
@@ -281,7 +322,7 @@
 	}
 	qsort(found, n, sizeof(found[0]), by_key);
 	for (size_t i = 0; i < n; i++)
-		json_array_append_new(out, row_json(found[i]));
+		json_array_append_new(out, row_json(found[i], address));
 	return out;
 }
 
@@ -304,10 +345,11 @@
 }
 
 static void answer_rows(struct ingress_request *req, const char *table, uint64_t after,
-			bool deleted)
+			bool deleted, int address)
 {
-	json_t *body = json_pack("{s:o,s:b,s:I,s:s}", "rows", rows_json(table, after, deleted),
-				 "has-more", 0, "ver", (json_int_t)store.version, "now", "1ms");
+	json_t *body =
+		json_pack("{s:o,s:b,s:I,s:s}", "rows", rows_json(table, after, deleted, address),
+			  "has-more", 0, "ver", (json_int_t)store.version, "now", "1ms");
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	reply_text(req, 200, add_raw_rows(&req->arena, str_from(text), table, after));
@@ -335,7 +377,7 @@
 		timer_arm(&w->timer, HANG_CHECK_MS);
 		return;
 	}
-	answer_rows(w->req, w->table, w->after, true);
+	answer_rows(w->req, w->table, w->after, true, w->address);
 	waiter_free(w);
 }
 
@@ -414,7 +456,7 @@
 		if (version != (uint64_t)json_integer_value(json_object_get(entry, "ver")))
 			ok = false;
 		if (r && !r->deleted)
-			json_array_append_new(current, row_json(r));
+			json_array_append_new(current, row_json(r, 0));
 	}
 	return ok;
 }
@@ -492,7 +534,7 @@
 	} else if (path_is(req, "/-/rows-get")) {
 		struct str table = query_param(req, "table");
 
-		answer_rows(req, arena_str(&req->arena, table).ptr, 0, false);
+		answer_rows(req, arena_str(&req->arena, table).ptr, 0, false, *(const int *)data);
 	} else if (path_is(req, "/-/rows-feed")) {
 		on_feed(req, *(const int *)data);
 	} else {
@@ -579,6 +621,27 @@
 	}
 }
 
+static void on_views(const json_t *list)
+{
+	const json_t *item;
+	size_t i;
+
+	views.n = 0;
+	json_array_foreach(list, i, item)
+	{
+		struct view *v = &views.list[views.n];
+
+		if (views.n == MAX_VIEWS)
+			abort();
+		v->address = (int)json_integer_value(json_object_get(item, "address"));
+		snprintf(v->from, sizeof(v->from), "%s",
+			 json_string_value(json_object_get(item, "from")));
+		snprintf(v->to, sizeof(v->to), "%s",
+			 json_string_value(json_object_get(item, "to")));
+		views.n++;
+	}
+}
+
 static void on_fault_switches(struct ingress_request *req)
 {
 	json_error_t json_err;
@@ -608,6 +671,8 @@
 		store.lose_answers = (int)json_integer_value(value);
 	if (json_is_true(json_object_get(root, "trim")))
 		store.min_feed_version = store.version + 1;
+	if (json_object_get(root, "views"))
+		on_views(json_object_get(root, "views"));
 	on_snapshot_switches(root);
 	json_decref(root);
 	reply_control(req, 200, json_object());
--- a/test/shardmgr_world.h
+++ b/test/shardmgr_world.h
@@ -343,9 +343,14 @@
 	 * as seen: grants under lower tokens are refused from then on. 0: no release does.
 	 */
 	uint64_t seen_release_gap;
-	bool agree;	 /* answer of peers_agree() */
-	bool alone;	 /* the shard manager hears no other gateway */
-	bool lacks_one;	 /* it hears all others but one */
+	bool agree;	    /* most gateways support the shard manager while the store is away */
+	bool no_consent;    /* they do not consent to a successor */
+	uint64_t last_term; /* that the others followed before they consented */
+	bool not_after_restore;	    /* nor support the shard manager after a restore of the store */
+	struct electorate wanted;   /* gateways that are to vote */
+	struct electorate opposing; /* an electorate that does not support the shard manager */
+	bool alone;		    /* the shard manager hears no other gateway */
+	bool lacks_one;		    /* it hears all others but one */
 	bool lost_touch; /* the gateways lost touch with the shard manager before it ended */
 };
 
@@ -576,9 +581,42 @@
 {
 }
 
-static inline bool peers_agree(void *data, const char *service, uint64_t term)
+static inline void electorate(void *data, struct electorate *out)
 {
-	return ((struct world *)data)->agree;
+	*out = ((struct world *)data)->wanted;
+}
+
+static inline void role_confirmed(void *data, const char *service, clk_ms sent)
+{
+}
+
+/* After a restore of the store, most gateways that are heard support the shard manager. */
+static inline bool peers_support(void *data, const char *service, const struct electorate *e,
+				 uint64_t term, clk_ms since)
+{
+	const struct world *w = data;
+
+	if (e->n && electorate_equal(e, &w->opposing))
+		return false;
+	return w->agree || (w->meta.restored_at && since >= w->meta.restored_at && !w->alone &&
+			    !w->not_after_restore);
+}
+
+static inline bool peers_knew_none_above(void *data, const char *service,
+					 const struct electorate *e, uint64_t term, uint64_t last,
+					 clk_ms since)
+{
+	return last >= ((struct world *)data)->last_term || MUTANT(voters_forget_terms);
+}
+
+static inline void ask_peers(void *data)
+{
+}
+
+static inline bool peers_consent(void *data, const char *service, const struct electorate *e,
+				 uint64_t term)
+{
+	return !((struct world *)data)->no_consent;
 }
 
 static inline bool hears_most(void *data)
@@ -640,7 +678,12 @@
 		.health_path = health_path,
 		.on_owners = on_owners,
 		.on_role = on_role,
-		.peers_agree = peers_agree,
+		.electorate = electorate,
+		.role_confirmed = role_confirmed,
+		.peers_support = peers_support,
+		.peers_consent = peers_consent,
+		.ask_peers = ask_peers,
+		.peers_knew_none_above = peers_knew_none_above,
 		.hears_most = hears_most,
 		.hears_all = hears_all,
 		.others_answered_at = others_answered_at,
--- a/test/unit_gateway_peer.c
+++ b/test/unit_gateway_peer.c
@@ -12,6 +12,7 @@
 #define SERVICE "s"
 #define TERM 5
 #define MAP_VERSION 3
+#define ASKED_MS 777 /* clock of the shard manager in its heartbeat */
 /* Time for what was sent to be read by the other side. */
 #define SETTLE_MS 50
 
@@ -46,9 +47,10 @@
 	struct hlc peer_hlc;
 	uint32_t peer_port;
 	bool peer_has_store;
-	uint32_t mark;	    /* of the last heartbeat that the peer sent */
-	Bc__Pulse told;	    /* last heartbeat that the peer got */
-	uint64_t told_term; /* of the last map that the peer got */
+	uint32_t mark;	       /* of the last heartbeat that the peer sent */
+	Bc__Pulse told;	       /* last heartbeat that the peer got */
+	uint64_t told_follows; /* term in that heartbeat */
+	uint64_t told_term;    /* of the last map that the peer got */
 	size_t told_ranges;
 };
 
@@ -64,6 +66,8 @@
 		return;
 	f->told.interval_ms = frame->pulse->interval_ms;
 	f->told.store_era = frame->pulse->store_era;
+	f->told.echo_ms = frame->pulse->echo_ms;
+	f->told_follows = frame->pulse->n_follows ? frame->pulse->follows[0]->term : 0;
 }
 
 static void ignore_peer(void *data, const struct peer_info *peer)
@@ -139,6 +143,7 @@
 	gateway_peers_close(g);
 	HASH_CLEAR(hh, g->services);
 	shardmgr_destroy(f->service.shardmgr);
+	voters_clear(&f->service.voters);
 	slots_destroy(g->slots);
 	watch_destroy(g->watch);
 	timer_destroy_loop(g->loop);
@@ -204,6 +209,7 @@
 	term.version = version;
 	term.unsure = unsure;
 	pulse.store_ok = f->peer_has_store;
+	pulse.sent_ms = ASKED_MS;
 	pulse.keeper = terms;
 	pulse.n_keeper = 1;
 	frame.body_case = BC__FRAME__BODY_PULSE;
@@ -249,6 +255,21 @@
 }
 END_TEST
 
+/*
+ * Guards against a shard manager that cannot act without the store, or waits before it moves keys,
+ * since its first heartbeat is not answered, or not as an answer to that one.
+ */
+START_TEST(first_heartbeat_of_a_shard_manager_is_answered_at_once)
+{
+	struct fixture *f = setup();
+
+	connect_shardmgr(f, MAP_VERSION, false);
+	ck_assert_uint_eq(f->told_follows, TERM);
+	ck_assert_uint_eq(f->told.echo_ms, ASKED_MS);
+	teardown(f);
+}
+END_TEST
+
 /* Guards against a successor that uses a map which lacks the last moves of the former one. */
 START_TEST(end_of_a_shard_manager_with_a_newer_map_does_not_count)
 {
@@ -517,14 +538,14 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"gateway_forget_maps",	 "manager_end_any_close",
-	"manager_end_any_maps",	 "gateway_trust_unsure",
-	"gateway_count_start",	 "gateway_answer_rarely",
-	"gateway_keep_replaced", NULL,
+	"gateway_forget_maps",	 "manager_end_any_close", "manager_end_any_maps",
+	"gateway_trust_unsure",	 "gateway_count_start",	  "gateway_answer_rarely",
+	"gateway_keep_replaced", "gateway_answer_later",  NULL,
 };
 
 static void add_tests(TCase *tc)
 {
+	tcase_add_test(tc, first_heartbeat_of_a_shard_manager_is_answered_at_once);
 	tcase_add_test(tc, shard_manager_that_ended_is_known_to_have);
 	tcase_add_test(tc, end_of_a_shard_manager_with_a_newer_map_does_not_count);
 	tcase_add_test(tc, map_of_a_shard_manager_that_is_unsure_does_not_count);
--- a/test/unit_shardmgr.c
+++ b/test/unit_shardmgr.c
@@ -465,6 +465,144 @@
 }
 END_TEST
 
+/* Returns a fleet with the upstreams of the world, of which one cannot be reached. */
+static struct fleet *fleet_without(struct world *w, int unreachable)
+{
+	static const struct fleet_handlers handlers = {ignore_upstream, ignore_upstream};
+	struct fleet *known = w->fleet;
+	struct fleet *fleet = fleet_create(&handlers, w);
+
+	for (int i = 0; i < UPSTREAMS; i++) {
+		char id[16];
+		struct fleet_info info = {
+			.service = STR_LIT(SERVICE),
+			.failure_domain = STR_LIT("d"),
+			.slots = 2,
+			.started = 1,
+		};
+
+		snprintf(id, sizeof(id), "u%d", i);
+		info.id = str_from(id);
+		info.port = fleet_find(known, fleet_num(info.id))->port;
+		snprintf(info.ip, sizeof(info.ip), "%s", unit_ip());
+		if (i == unreachable)
+			info.port = unit_free_port(unit_ip());
+		fleet_put(fleet, clk_now(), &info);
+	}
+	return fleet;
+}
+
+static bool server_has_keys(const struct server *s)
+{
+	for (uint32_t key = 0; key < KEY_SPACE; key++) {
+		if (has_lease(s, key, clk_now()))
+			return true;
+	}
+	return false;
+}
+
+static bool second_mgr_serves_all_without_u1(void *data)
+{
+	struct world *w = data;
+
+	return second_mgr_serves_all(w) && !server_has_keys(&w->servers[1]);
+}
+
+#define LEASES_OVER_MS 6500 /* a successor has waited for all leases of its predecessor */
+
+/*
+ * A shard manager is cut off from the store, and renews leases with the support of most gateways; a
+ * gateway that reaches the store, but not u1, takes the role. Guards against a successor that takes
+ * u1's lease as expired while its predecessor goes on.
+ */
+START_TEST(successor_without_consent_moves_no_keys)
+{
+	static struct world w;
+	struct fleet *all;
+
+	start(&w);
+	all = w.fleet;
+	w.fleet = fleet_without(&w, 1);
+	shardmgr_destroy(w.mgrs[1]);
+	w.mgrs[1] = new_mgr(&w);
+	w.agree = true;
+	w.no_consent = true;
+	w.meta.cut_off = w.mgrs[0];
+	unit_run_for(w.loop, 2 * STORE_WATCH_MS); /* the open call of mgrs[0] ends */
+	shardmgr_acquire_role(w.mgrs[1]);
+	for (clk_ms begin = clk_now(); clk_now() - begin < LEASES_OVER_MS;) {
+		unit_run_for(w.loop, LEASE_MS / 3);
+		ck_assert(shardmgr_is_active(w.mgrs[0]));
+		ck_assert(shardmgr_is_active(w.mgrs[1]));
+		ck_assert(server_has_keys(&w.servers[1]));
+		check_no_violations(&w);
+	}
+	/* The gateways change sides. */
+	w.agree = false;
+	w.no_consent = false;
+	ck_assert(unit_run_until(w.loop, second_mgr_serves_all_without_u1, &w));
+	check_no_violations(&w);
+	fleet_destroy(w.fleet);
+	w.fleet = all;
+	teardown(&w);
+}
+END_TEST
+
+static bool role_names_wanted(void *data)
+{
+	struct world *w = data;
+	const struct row *row = find_row(&w->meta, STR_LIT("keeper/" SERVICE));
+	char text[ELECTORATE_TEXT_BYTES];
+	struct str voters = electorate_write(&w->wanted, text);
+
+	return row && row->len > voters.len &&
+	       memcmp(row->value + row->len - voters.len, voters.ptr, voters.len) == 0;
+}
+
+static bool sends_grants(struct world *w)
+{
+	size_t grants = w->grants;
+
+	unit_run_for(w->loop, LEASE_MS);
+	return w->grants > grants;
+}
+
+/*
+ * The gateways that vote are replaced by others, and the answer to that write is lost. Guards
+ * against a shard manager that acts without the store by the support of the new ones alone: a
+ * successor may have read the row before, or in a restored store, and ask the former ones.
+ */
+START_TEST(replaced_electorate_still_has_to_support)
+{
+	static struct world w;
+	struct electorate first = {.ids = {1, 2, 3}, .n = 3};
+
+	setup(&w);
+	w.wanted = first;
+	shardmgr_acquire_role(w.mgrs[0]);
+	ck_assert(unit_run_until(w.loop, first_mgr_serves_all, &w));
+	ck_assert(role_names_wanted(&w));
+	w.wanted = (struct electorate){.ids = {4, 5, 6}, .n = 3};
+	w.meta.lose_writes = true;
+	ck_assert(unit_run_until(w.loop, role_names_wanted, &w));
+	unit_run_for(w.loop, LEASE_MS);
+	w.meta.lose_writes = false;
+	unit_run_for(w.loop, LEASE_MS);
+	ck_assert(first_mgr_serves_all(&w));
+	w.agree = true;
+	w.opposing = first;
+	w.meta.down = true;
+	unit_run_for(w.loop, 3200);
+	ck_assert(!sends_grants(&w));
+	w.opposing = w.wanted;
+	ck_assert(!sends_grants(&w));
+	w.opposing.n = 0;
+	ck_assert(sends_grants(&w));
+	check_no_violations(&w);
+	teardown(&w);
+}
+END_TEST
+
 /*
  * Hot keys all over the key space make each plan split ranges. Guards against a map that is too
  * long for a row of the store: it could not be written any more, and no key could move. This
@@ -608,11 +746,23 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"keeper_grant_by_key",	"keeper_refused_is_dead",    "keeper_skip_release",
-	"keeper_forget_owner",	"keeper_act_early",	     "keeper_never_isolated",
-	"keeper_keep_fence",	"keeper_restart_is_release", "keeper_any_row",
-	"keeper_leave_failing", "keeper_stay_trimmed",	     "keeper_await_heartbeat",
-	"keeper_mix_terms",	"keeper_trust_address",	     NULL,
+	"keeper_grant_by_key",
+	"keeper_refused_is_dead",
+	"keeper_skip_release",
+	"keeper_forget_owner",
+	"keeper_act_early",
+	"keeper_never_isolated",
+	"keeper_keep_fence",
+	"keeper_restart_is_release",
+	"keeper_any_row",
+	"keeper_leave_failing",
+	"keeper_stay_trimmed",
+	"keeper_await_heartbeat",
+	"keeper_mix_terms",
+	"keeper_trust_address",
+	"keeper_need_no_consent",
+	"keeper_one_electorate",
+	NULL,
 };
 
 static void add_tests(TCase *tc)
@@ -622,6 +772,8 @@
 		tcase_add_test(tc, successor_in_a_move_of_a_manager_that_lives);
 		return;
 	}
+	tcase_add_test(tc, successor_without_consent_moves_no_keys);
+	tcase_add_test(tc, replaced_electorate_still_has_to_support);
 	tcase_add_test(tc, first_grants_are_not_kept_back_by_renewals);
 	tcase_add_test(tc, keys_are_granted_and_renewed);
 	tcase_add_test(tc, draining_upstream_releases_keys);
--- a/test/unit_shardmgr_history.c
+++ b/test/unit_shardmgr_history.c
@@ -22,13 +22,6 @@
 #include "process/storeseen.h"
 #include "test/shardmgr_world.h"
 
-/*
- * KNOWN-RED (issue 28): a shard manager was replaced by one that it was not connected to, and the
- * store lost that. What gateways tell each other shows it in most cases, see "Known to remain" in
- * docs/platform.md. With 1, the replaced one counts as out of touch in this situation, and its maps
- * as missing.
- */
-#define LEAVE_OUT_UNSEEN_SUCCESSOR 1
 /*
  * KNOWN-RED (issue 28), a successor that finds keys in a move: it sends their former owner only a
  * release, after which that one may carry out a grant of the former shard manager, sent before or
@@ -59,7 +52,6 @@
 #define ANSWER_AGE_MS 1500
 #define CANDIDATE_MS 200
 #define FIRST_ELECTION_AFTER_MS 800
-#define HEARTBEAT_AGE_MS 1200
 #define END_KNOWN_MS 250
 #define MAP_BATCH_TIME_MS 40
 #define MAP_REQUEST_MS 300
@@ -86,7 +78,14 @@
 	bool manages;
 	uint64_t term;
 	uint64_t version;
-	bool unsure; /* see shardmgr_is_unsure() */
+	bool unsure;  /* see shardmgr_is_unsure() */
+	clk_ms asked; /* its clock when it sent its last heartbeat as shard manager */
+	clk_ms echo;  /* in a heartbeat: `asked` of the receiver */
+	uint64_t follows;
+	uint64_t before;
+	uint64_t node;
+	clk_ms age; /* of the process */
+	bool ask;
 };
 
 enum mail_kind { MAIL_ANSWER, MAIL_CLOSED, MAIL_HEARTBEAT, MAIL_MAP, MAIL_MAP_GET };
@@ -118,12 +117,12 @@
 	struct shardmgr *mgr; /* NULL: the process has ended */
 	struct era era;
 	struct storeseen others_store; /* answers of the store to the others */
+	struct voters voters;
 	clk_ms started;
 	clk_ms next_tick;
 	clk_ms no_manager_since;
 	bool draining;
-	bool replaced_unseen; /* see LEAVE_OUT_UNSEEN_SUCCESSOR */
-	clk_ms map_due;	      /* when changes of the map are sent, 0: none are due */
+	clk_ms map_due; /* when changes of the map are sent, 0: none are due */
 	clk_ms map_requested_at;
 	unsigned int map_requests;
 	struct other others[GATEWAYS];
@@ -157,7 +156,6 @@
 	bool broken[GATEWAYS][GATEWAYS]; /* a frame of the present connection was lost */
 	clk_ms connect_at[GATEWAYS][GATEWAYS];
 	uint64_t conns;
-	uint64_t outdated_term; /* highest one of a shard manager that was replaced unseen */
 	struct copy copies[COPIES];
 	size_t n_copies;
 	/* faults of the store: times of their ends */
@@ -536,14 +534,6 @@
 	return now >= h->link_cut_until[a][b];
 }
 
-/* Whether both have the same connection, and frames pass over it. */
-static bool are_connected(const struct history *h, int a, int b, clk_ms now)
-{
-	return h->gates[a].others[b].conn &&
-	       h->gates[a].others[b].conn == h->gates[b].others[a].conn && !h->broken[a][b] &&
-	       link_works(h, a, b, now);
-}
-
 /* Sends a frame; one that a cut link loses also loses all later ones of the connection. */
 static void send_mail(struct gate *g, int to, struct mail *m)
 {
@@ -590,7 +580,7 @@
 		clk_now() + 50 + (clk_ms)rnd_below(&g->history->rnd, 250);
 }
 
-static void send_beat(struct gate *g, int to, clk_ms now)
+static void send_beat(struct gate *g, int to, bool ask, clk_ms now)
 {
 	struct mail *m = new_mail(MAIL_HEARTBEAT);
 
@@ -604,7 +594,14 @@
 		m->heartbeat.term = shardmgr_term(g->mgr);
 		m->heartbeat.version = shardmgr_map_version(g->mgr);
 		m->heartbeat.unsure = shardmgr_is_unsure(g->mgr);
+		m->heartbeat.asked = now;
 	}
+	m->heartbeat.echo = g->others[to].asked;
+	m->heartbeat.follows = g->others[to].manages ? shardmgr_followed_term(g->mgr) : 0;
+	m->heartbeat.node = g->node;
+	m->heartbeat.age = now - g->started;
+	m->heartbeat.before = shardmgr_former_term(g->mgr);
+	m->heartbeat.ask = ask;
 	g->others[to].heartbeat_sent = now;
 	send_mail(g, to, m);
 }
@@ -613,7 +610,7 @@
 {
 	for (int i = 0; i < GATEWAYS; i++) {
 		if (g->others[i].conn && (all || now - g->others[i].heartbeat_sent >= HEARTBEAT_MS))
-			send_beat(g, i, now);
+			send_beat(g, i, false, now);
 	}
 }
 
@@ -664,9 +661,38 @@
 	send_mail(g, from, new_mail(MAIL_MAP_GET));
 }
 
+static uint64_t gate_id(int number)
+{
+	return (uint64_t)number + 1;
+}
+
+/* As on_followed() in gateway_peer.c. */
+static void read_vote(struct gate *g, const struct mail *m, clk_ms now)
+{
+	const struct other *beat = &m->heartbeat;
+
+	if (!beat->follows || !shardmgr_is_active(g->mgr))
+		return;
+	if (beat->follows > shardmgr_term(g->mgr))
+		shardmgr_observe_term(g->mgr, beat->follows);
+	else
+		voters_heard(&g->voters,
+			     &(struct vote){
+				     .id = gate_id(m->from),
+				     .node = beat->node,
+				     .age = beat->age,
+				     .follows = beat->follows,
+				     .before = beat->before,
+				     .asked_at = beat->echo,
+			     },
+			     now);
+	shardmgr_votes_changed(g->mgr);
+}
+
 static void read_beat(struct gate *g, const struct mail *m, clk_ms now)
 {
 	struct other *o = &g->others[m->from];
+	bool answer_now = m->heartbeat.ask;
 
 	o->heartbeat_received = now;
 	o->store_answered_at = now - m->store_age;
@@ -678,9 +704,14 @@
 	o->term = m->heartbeat.term;
 	o->version = m->heartbeat.version;
 	o->unsure = m->heartbeat.unsure;
+	o->asked = m->heartbeat.asked;
+	read_vote(g, m, now);
 	if (!o->manages)
 		return;
+	answer_now |= o->term > shardmgr_followed_term(g->mgr);
 	shardmgr_observe_term(g->mgr, o->term);
+	if (answer_now)
+		send_beat(g, m->from, false, now);
 	if (!shardmgr_is_active(g->mgr) && shardmgr_map_is_known(g->mgr, o->term + 1, 0))
 		send_known_map(g, m->from);
 	if (o->version && !shardmgr_is_active(g->mgr) &&
@@ -757,8 +788,10 @@
 	h->broken[b][a] = false;
 	ga->others[b] = (struct other){.conn = ++h->conns, .received = now};
 	gb->others[a] = (struct other){.conn = h->conns, .received = now};
-	send_beat(ga, b, now);
-	send_beat(gb, a, now);
+	voters_connected(&ga->voters, gate_id(b), gb->node, now);
+	voters_connected(&gb->voters, gate_id(a), ga->node, now);
+	send_beat(ga, b, false, now);
+	send_beat(gb, a, false, now);
 	if (shardmgr_is_active(ga->mgr))
 		send_known_map(ga, b);
 	if (shardmgr_is_active(gb->mgr))
@@ -793,26 +826,50 @@
 	return best;
 }
 
-static bool gate_peers_agree(void *data, const char *service, uint64_t term)
+static void gate_electorate(void *data, struct electorate *out)
+{
+	out->n = 0;
+	for (int i = 0; i < GATEWAYS; i++)
+		electorate_add(out, gate_id(i));
+}
+
+static void gate_role_confirmed(void *data, const char *service, clk_ms sent)
+{
+	voters_role_confirmed(&((struct gate *)data)->voters, sent);
+}
+
+static bool gate_peers_support(void *data, const char *service, const struct electorate *e,
+			       uint64_t term, clk_ms since)
 {
 	const struct gate *g = data;
-	clk_ms now = clk_now();
-	size_t heard = 1;
 
-	for (int i = 0; i < GATEWAYS; i++) {
-		const struct other *o = &g->others[i];
+	return voters_support(&g->voters, e, gate_id(g->number), term, since);
+}
 
-		if (!o->conn)
-			continue;
-		if (o->manages && o->term > term)
-			return false;
-		if (now - o->heartbeat_received > HEARTBEAT_AGE_MS)
-			continue;
-		if (o->store_ok)
-			return false;
-		heard++;
+static bool gate_peers_knew_none_above(void *data, const char *service, const struct electorate *e,
+				       uint64_t term, uint64_t last, clk_ms since)
+{
+	const struct gate *g = data;
+
+	return voters_knew_none_above(&g->voters, e, gate_id(g->number), term, last, since);
+}
+
+static void gate_ask_peers(void *data)
+{
+	struct gate *g = data;
+
+	for (int i = 0; i < GATEWAYS; i++) {
+		if (g->others[i].conn)
+			send_beat(g, i, true, clk_now());
 	}
-	return heard * 2 > GATEWAYS;
+}
+
+static bool gate_peers_consent(void *data, const char *service, const struct electorate *e,
+			       uint64_t term)
+{
+	const struct gate *g = data;
+
+	return voters_consent(&g->voters, e, gate_id(g->number), term);
 }
 
 static bool gate_hears_most(void *data)
@@ -820,8 +877,6 @@
 	const struct gate *g = data;
 	size_t heard = 1;
 
-	if (LEAVE_OUT_UNSEEN_SUCCESSOR && g->replaced_unseen)
-		return false;
 	for (int i = 0; i < GATEWAYS; i++)
 		heard += g->others[i].conn != 0;
 	return heard * 2 > GATEWAYS;
@@ -832,8 +887,6 @@
 	const struct gate *g = data;
 	size_t heard = 1;
 
-	if (LEAVE_OUT_UNSEEN_SUCCESSOR && g->replaced_unseen)
-		return false;
 	for (int i = 0; i < GATEWAYS; i++)
 		heard += g->others[i].conn != 0;
 	return heard == GATEWAYS;
@@ -849,8 +902,6 @@
 	const struct gate *g = data;
 	int manager = find_manager(g, clk_now());
 
-	if (LEAVE_OUT_UNSEEN_SUCCESSOR && term <= g->history->outdated_term)
-		return false;
 	if (manager >= 0 && g->others[manager].term == term &&
 	    gate_has_map_of(g, &g->others[manager]))
 		return true;
@@ -865,15 +916,6 @@
 		g->map_due = clk_now() + MAP_BATCH_TIME_MS;
 }
 
-static void note_replaced_unseen(struct gate *g)
-{
-	uint64_t term = shardmgr_term(g->mgr);
-
-	g->replaced_unseen = true;
-	if (g->history->outdated_term < term)
-		g->history->outdated_term = term;
-}
-
 static void gate_on_role(void *data, const char *service, bool active)
 {
 	struct gate *g = data;
@@ -882,13 +924,6 @@
 
 	step(h, "g%d %s the role, term %llu", g->number, active ? "has" : "loses",
 	     (unsigned long long)shardmgr_term(g->mgr));
-	for (int i = 0; active && i < GATEWAYS; i++) {
-		if (i != g->number && gate_is_active(&h->gates[i]) &&
-		    !are_connected(h, g->number, i, now))
-			note_replaced_unseen(&h->gates[i]);
-	}
-	if (!active)
-		g->replaced_unseen = false;
 	send_beats(g, true, now);
 }
 
@@ -921,7 +956,12 @@
 		.health_path = health_path,
 		.on_owners = gate_on_owners,
 		.on_role = gate_on_role,
-		.peers_agree = gate_peers_agree,
+		.electorate = gate_electorate,
+		.role_confirmed = gate_role_confirmed,
+		.peers_support = gate_peers_support,
+		.peers_consent = gate_peers_consent,
+		.ask_peers = gate_ask_peers,
+		.peers_knew_none_above = gate_peers_knew_none_above,
 		.hears_most = gate_hears_most,
 		.hears_all = gate_hears_all,
 		.others_answered_at = gate_others_answered_at,
@@ -931,11 +971,11 @@
 	g->node = env.node;
 	g->era = (struct era){0};
 	g->others_store = (struct storeseen){0};
+	voters_clear(&g->voters);
 	g->started = clk_now();
 	g->next_tick = 0;
 	g->no_manager_since = 0;
 	g->draining = false;
-	g->replaced_unseen = false;
 	g->map_due = 0;
 	g->map_requested_at = 0;
 	g->map_requests = 0;
@@ -1551,6 +1591,8 @@
 		release_held(h);
 	for (int i = 0; i < GATEWAYS; i++)
 		end_gate(&h->gates[i]);
+	for (int i = 0; i < GATEWAYS; i++)
+		voters_clear(&h->gates[i].voters);
 	while (h->watches) {
 		struct forward *f = h->watches;
 
--- a/test/unit_shardmgr_restored.c
+++ b/test/unit_shardmgr_restored.c
@@ -616,6 +616,54 @@
 }
 END_TEST
 
+static bool first_mgr_is_not_active(void *data)
+{
+	return !shardmgr_is_active(((struct world *)data)->mgrs[0]);
+}
+
+/*
+ * A gateway has all maps of a shard manager that was replaced without its knowledge; the
+ * replacement moved u1's keys, and the store has lost its role. The others followed it. Guards
+ * against a successor that grants keys by the older map.
+ */
+START_TEST(successor_whose_peers_followed_a_later_term)
+{
+	static struct world w;
+
+	start_in_era(&w, 1);
+	pass_map_on(&w);
+	w.last_term = shardmgr_term(w.mgrs[0]) + 1;
+	move_after_copy(&w);
+	end_mgr_process(&w, &w.mgrs[0]);
+	restore_store(&w.meta);
+	register_upstream(&w, 1, false);
+	shardmgr_acquire_role(w.mgrs[1]);
+	ck_assert(unit_run_until(w.loop, second_mgr_serves_all, &w));
+	check_one_owner(&w);
+	teardown(&w);
+}
+END_TEST
+
+/*
+ * Most gateways consented to a successor that this shard manager never heard of, and which the
+ * restored store has lost. Guards against going back to its own owners, although it hears all
+ * others again.
+ */
+START_TEST(manager_without_support_does_not_return_in_a_restored_store)
+{
+	static struct world w;
+
+	start_in_era(&w, 1);
+	copy_store(&w.meta);
+	w.not_after_restore = true;
+	restore_store(&w.meta);
+	ck_assert(unit_run_until(w.loop, first_mgr_is_not_active, &w));
+	ck_assert(!has_row(&w, "role/2/" SERVICE));
+	check_one_owner(&w);
+	teardown(&w);
+}
+END_TEST
+
 /*
  * A shard manager without its store is replaced by one that it does not hear, which moves keys and
  * ends; the store comes back without that role. A gateway that started since is in touch with the
@@ -651,16 +699,22 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"keeper_yield_restored", "keeper_trust_restored",  "keeper_no_era",
-	"keeper_any_era",	 "keeper_forget_holder",   "keeper_trust_no_map",
-	"keeper_one_owner",	 "keeper_yield_to_itself", "keeper_early_term",
-	"keeper_trust_old_view", "keeper_never_replaced",  "keeper_any_commit",
-	"keeper_confirm_late",	 "keeper_most_suffice",	   "keeper_yield_unheard",
-	"gateway_trust_unsure",	 "keeper_fast_store",	   NULL,
+	"keeper_yield_restored", "keeper_trust_restored",
+	"keeper_no_era",	 "keeper_any_era",
+	"keeper_forget_holder",	 "keeper_trust_no_map",
+	"keeper_one_owner",	 "keeper_yield_to_itself",
+	"keeper_early_term",	 "keeper_trust_old_view",
+	"keeper_never_replaced", "keeper_any_commit",
+	"keeper_confirm_late",	 "keeper_most_suffice",
+	"keeper_yield_unheard",	 "gateway_trust_unsure",
+	"keeper_fast_store",	 "keeper_need_no_support",
+	"voters_forget_terms",	 NULL,
 };
 
 static void add_tests(TCase *tc)
 {
+	tcase_add_test(tc, manager_without_support_does_not_return_in_a_restored_store);
+	tcase_add_test(tc, successor_whose_peers_followed_a_later_term);
 	tcase_add_test(tc, late_answer_to_an_acquisition_confirms_nothing_later);
 	tcase_add_test(tc, role_and_map_are_written_again_in_a_restored_store);
 	tcase_add_test(tc, lost_answer_in_a_restored_store_keeps_the_role);
