slots: a request that is queued at another gateway ends by its deadline

Cause: on_slot_reply() cancelled the timer of a request once its controller had queued it, and only the end of the connection, 30 s between regions, ended the wait.

Now the timer runs until the deadline, at the gateway that waits. The request is refused with 503: it has not run, and a grant that comes later is returned. The wait for an acknowledgement ends by the deadline, too, and no slot of a second region is requested after it.

Tests: unit_slots, queued_request_ends_by_its_deadline (before: not decided at all) and unanswered_request_ends_by_its_deadline (before: 120 ms for a request with 30 ms left), mutant slots_trust_lender.

--- a/src/process/slots.c
+++ b/src/process/slots.c
@@ -15,6 +15,8 @@
  */
 #define SAME_REGION_ACK_TIMEOUT_MS 120
 #define CROSS_REGION_ACK_TIMEOUT_MS 250
+/* Retry-After of a request whose controller kept it waiting until its deadline. */
+#define EXPIRED_RETRY_AFTER_MS 300
 /* A limit is reported to the shard manager only if an answer named it within this time. */
 #define LIMIT_REPORT_AGE_MS 1000
 /* Interval of the gauge of expected work. */
@@ -26,6 +28,8 @@
 CTR(ctr_local, "slots_local_total", "Asks decided by this gateway for itself.");
 CTR(ctr_remote, "slots_remote_total", "Asks sent to another gateway.");
 CTR(ctr_fallback, "slots_fallback_total", "Asks that the lender did not answer.");
+CTR(ctr_expired, "slots_expired_total",
+    "Asks that their lender had queued and not decided by their deadline.");
 CTR(ctr_no_upstream, "slots_no_upstream_total", "Asks whose lender knew no upstream.");
 
 CTR_GAUGE(ctr_work, "slots_work_ms", "Expected time left of requests, running or waiting here.");
@@ -277,6 +281,16 @@
 	dispatch(a->pool);
 }
 
+/* Sets the timer of a request that another gateway is to decide; the deadline ends any wait. */
+static void arm_by_deadline(struct slot_ask *a, clk_ms delay, clk_ms now)
+{
+	clk_ms left = a->slot_request.deadline - now;
+
+	if (left > delay)
+		left = delay;
+	timer_arm(&a->timer, left > 0 ? left : 0);
+}
+
 static bool request_remotely(struct slots *s, struct slot_ask *a, uint64_t controller)
 {
 	clk_ms now = clk_now();
@@ -312,8 +326,8 @@
 	a->controller = controller;
 	a->acked = false;
 	a->sent = now;
-	timer_arm(&a->timer,
-		  a->pool->keyed ? CROSS_REGION_ACK_TIMEOUT_MS : SAME_REGION_ACK_TIMEOUT_MS);
+	arm_by_deadline(
+		a, a->pool->keyed ? CROSS_REGION_ACK_TIMEOUT_MS : SAME_REGION_ACK_TIMEOUT_MS, now);
 	if (!s->env.send(s->env.data, controller, &frame)) {
 		timer_cancel(&a->timer);
 		return false;
@@ -334,11 +348,37 @@
 	s->env.send(s->env.data, a->controller, &frame);
 }
 
+/*
+ * Load pattern: a controller that stops for seconds keeps the requests that it has queued. A grant
+ * that it sends later is returned unused.
+ */
+static void on_request_expired(struct slots *s, struct slot_ask *a)
+{
+	struct admit_decision d = {
+		.node = s->env.node,
+		.request = a->id,
+		.reason = ADMIT_REFUSE_EXPIRED,
+		.retry_after = EXPIRED_RETRY_AFTER_MS,
+		.waited = clk_now() - a->sent,
+	};
+
+	ctr_inc(&ctr_expired);
+	s->env.on_no_answer(s->env.data, a->controller);
+	log_info(&log, "lender of %s did not decide in %lld ms; refusing here", a->pool->service,
+		 (long long)d.waited);
+	send_cancel(s, a);
+	request_decided(s, a, &d, a->controller);
+}
+
 static void on_request_timer(struct timer *timer, void *data)
 {
 	struct slot_ask *a = data;
 	struct slots *s = a->pool->slots;
 
+	if (a->acked) {
+		on_request_expired(s, a);
+		return;
+	}
 	ctr_inc(&ctr_fallback);
 	s->env.on_answer_time(s->env.data, a->controller, clk_now() - a->sent);
 	s->env.on_no_answer(s->env.data, a->controller);
@@ -520,6 +560,8 @@
 	if (a && a->controller == from && msg->queued) {
 		a->acked = true;
 		timer_cancel(&a->timer);
+		if (!MUTANT(slots_trust_lender))
+			arm_by_deadline(a, CLK_NEVER, clk_now());
 	} else if (a && a->controller == from && lacks_upstreams(msg)) {
 		ctr_inc(&ctr_no_upstream);
 		a->slot_request.unlimited_only = true;
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -786,7 +786,7 @@
 {
 	struct str region = other_region(f);
 
-	if (f->other_region || f->service->keyed || !region.len)
+	if (f->other_region || f->service->keyed || !region.len || clk_now() >= f->deadline)
 		return false;
 	if (f->route->kind == TOPO_UPLOAD && d->reason != ADMIT_REFUSE_NO_UPSTREAM)
 		return false;
--- a/test/unit_slots.c
+++ b/test/unit_slots.c
@@ -279,6 +279,77 @@
 }
 END_TEST
 
+#define SHORT_DEADLINE_MS 800
+
+/* Requests a slot for `left` ms only. */
+static void slot_request_until(struct fixture *w, int gateway, struct outcome *o, clk_ms left)
+{
+	struct slots *s = w->gateways[gateway].slots;
+
+	memset(o, 0, sizeof(*o));
+	o->fixture = w;
+	slots_request_init(s, &o->slot_request, on_decided, o);
+	o->slot_request.slot_request.deadline = clk_now() + left;
+	o->slot_request.slot_request.target = clk_now() + left;
+	slots_request(s, &o->slot_request, slots_pool(s, STR_LIT("s"), STR_LIT("r")));
+}
+
+/*
+ * The controller has queued a request of another gateway, and nothing comes from it any more, but
+ * the connection stays open. Guards against a request that gets no answer: review/8.
+ */
+START_TEST(queued_request_ends_by_its_deadline)
+{
+	static struct fixture w;
+	static struct outcome a;
+	static struct outcome b;
+	static struct outcome c;
+	clk_ms begin;
+
+	setup(&w);
+	slot_request(&w, 0, &a);
+	begin = clk_now();
+	slot_request_until(&w, 1, &b, SHORT_DEADLINE_MS);
+	unit_run_for(w.loop, 50);
+	ck_assert(!b.decided);
+	w.drop = true;
+	ck_assert(unit_run_until(w.loop, is_decided, &b));
+	ck_assert(!b.granted);
+	ck_assert_int_ge(clk_now() - begin, SHORT_DEADLINE_MS);
+	ck_assert_int_le(clk_now() - begin, SHORT_DEADLINE_MS + 100);
+	ck_assert_uint_eq(w.gateways[1].no_answer, w.controller);
+	w.drop = false;
+	done(&w, 0, &a);
+	slot_request(&w, 0, &c);
+	ck_assert(c.decided && c.granted);
+	done(&w, 0, &c);
+	slots_request_release(w.gateways[0].slots, &a.slot_request);
+	slots_request_release(w.gateways[1].slots, &b.slot_request);
+	slots_request_release(w.gateways[0].slots, &c.slot_request);
+	teardown(&w);
+}
+END_TEST
+
+/* A request is sent with less time left than its controller has to answer. */
+START_TEST(unanswered_request_ends_by_its_deadline)
+{
+	static struct fixture w;
+	static struct outcome b;
+	clk_ms begin;
+
+	setup(&w);
+	w.drop = true;
+	begin = clk_now();
+	slot_request_until(&w, 1, &b, 30);
+	ck_assert(unit_run_until(w.loop, is_decided, &b));
+	ck_assert_int_le(clk_now() - begin, 80);
+	if (b.granted)
+		done(&w, 1, &b);
+	slots_request_release(w.gateways[1].slots, &b.slot_request);
+	teardown(&w);
+}
+END_TEST
+
 /* Guards against granting a slot to a cancelled request. */
 START_TEST(cancelled_request_takes_no_slot)
 {
@@ -669,16 +740,24 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"slots_forget_caller",	 "slots_keep_parked",
-				      "slots_forget_limit",	 "slots_plan_without_limit",
-				      "slots_report_mixed_mean", "slots_forget_cost",
-				      "slots_count_keys",	 "slots_trust_no_upstream",
-				      "slots_fall_back_always",	 NULL};
+static const char *const mutants[] = {"slots_forget_caller",
+				      "slots_keep_parked",
+				      "slots_forget_limit",
+				      "slots_plan_without_limit",
+				      "slots_report_mixed_mean",
+				      "slots_forget_cost",
+				      "slots_count_keys",
+				      "slots_trust_no_upstream",
+				      "slots_fall_back_always",
+				      "slots_trust_lender",
+				      NULL};
 
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, one_slot_for_both_gateways);
 	tcase_add_test(tc, request_is_decided_here_without_an_answer);
+	tcase_add_test(tc, queued_request_ends_by_its_deadline);
+	tcase_add_test(tc, unanswered_request_ends_by_its_deadline);
 	tcase_add_test(tc, requests_of_a_failed_controller_are_decided);
 	tcase_add_test(tc, cancelled_request_takes_no_slot);
 	tcase_add_test(tc, ownerless_request_moves_to_the_controller);
