limits: a request waits for an allowance no longer than until its deadline

Now the deadline ends the wait, too, wherever the request is in the list. unit_gateway_limit fails with the mutant, which is the code before: no answer at the deadline.

--- a/src/process/gateway_limit.c
+++ b/src/process/gateway_limit.c
@@ -10,6 +10,7 @@
 
 #include "base/ctr.h"
 #include "base/log.h"
+#include "base/mutant.h"
 #include "base/rnd.h"
 #include "shared/holder.h"
 
@@ -213,10 +214,8 @@
 	l->n_waiting++;
 }
 
-static void refuse_first(struct account_limit *l, clk_ms now)
+static void refuse_waiter(struct account_limit *l, struct forward_waiter *w, clk_ms now)
 {
-	struct forward_waiter *w = l->first;
-
 	w->retry_after = share_retry_after(&l->share, now);
 	unlink_waiter(l, w);
 	w->cb(w->data, false);
@@ -233,11 +232,25 @@
 	}
 }
 
+/* Returns a request that must not wait longer, NULL if there is none. */
+static struct forward_waiter *find_expired(const struct account_limit *l, clk_ms now)
+{
+	struct forward_waiter *w = l->first;
+
+	while (w && now - w->since < WAIT_MAX_MS &&
+	       (now < w->deadline || MUTANT(limit_wait_past_deadline)))
+		w = w->next;
+	return w;
+}
+
 static void expire_waiting(struct account_limit *l, clk_ms now)
 {
-	while (l->first && now - l->first->since >= WAIT_MAX_MS) {
+	struct forward_waiter *w;
+
+	/* A refusal may end other requests, so the search restarts after each. */
+	while ((w = find_expired(l, now)) != NULL) {
 		ctr_inc(&ctr_wait_ended);
-		refuse_first(l, now);
+		refuse_waiter(l, w, now);
 	}
 }
 
@@ -253,7 +266,7 @@
 		return;
 	serve_waiting(l, now);
 	while (l->first && lease->scarce)
-		refuse_first(l, now);
+		refuse_waiter(l, l->first, now);
 }
 
 static uint32_t to_wire(double amount)
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -951,6 +951,7 @@
 
 	f->waiter.cb = on_allowance;
 	f->waiter.data = f;
+	f->waiter.deadline = f->deadline;
 	if (!account || account->rate <= 0 || !fits_stop(f)) {
 		request_slot(f);
 		return;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -27,6 +27,7 @@
 struct forward_waiter {
 	uint64_t limit; /* 0: it does not wait */
 	clk_ms since;
+	clk_ms deadline;    /* set by the request; it does not wait longer */
 	clk_ms retry_after; /* if refused */
 	void (*cb)(void *data, bool granted);
 	void *data;
