ingress: "100 Continue" waits for the answers before it

Cause: send_continue() wrote to the socket beside the answer that the event loop was writing. Now it is written by the same writer, once no earlier answer is open.

Test: unit_pipeline, continue_comes_after_the_answers_before_it.

--- a/src/connection/ingress_order.c
+++ b/src/connection/ingress_order.c
@@ -174,12 +174,37 @@
 	}
 }
 
+static void on_continue_written(h2o_socket_t *sock, const char *err)
+{
+	struct ingress_conn *c = sock->data;
+
+	c->writing_continue = false;
+	if (err)
+		ingress_conn_close(c);
+	else
+		ingress_write_next(c);
+}
+
+/* Callers take responses in the order of their requests, so it comes after all earlier ones. */
+static void write_continue(struct ingress_conn *c)
+{
+	h2o_iovec_t interim = h2o_iovec_init(H2O_STRLIT("HTTP/1.1 100 Continue\r\n\r\n"));
+
+	c->continue_due = false;
+	c->writing_continue = true;
+	h2o_socket_write(c->sock, &interim, 1, on_continue_written);
+}
+
 void ingress_write_next(struct ingress_conn *c)
 {
 	if (MUTANT(ingress_any_order) && !c->writing)
 		put_answered_first(c);
-	if (c->first && c->first->head && !c->writing)
+	if (c->writing || c->writing_continue)
+		return;
+	if (c->first && c->first->head)
 		ingress_write_answer(c, on_written);
+	else if (c->continue_due && c->state == CONN_BODY && !c->first)
+		write_continue(c);
 }
 
 void ingress_refuse(struct ingress_conn *c, int status, const char *why)
--- a/src/connection/ingress_parse.c
+++ b/src/connection/ingress_parse.c
@@ -1,13 +1,10 @@
 #include "connection/ingress_priv.h"
 
 #include <ctype.h>
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 
-#include "base/log.h"
 #include "base/mutant.h"
 
 /* Headers of a request for which no memory is allocated while they are parsed. */
@@ -15,7 +12,6 @@
 /* Limit on the chunk headers and trailers of a request, in addition to the limit on its body. */
 #define MAX_CHUNK_OVERHEAD_BYTES (64u * 1024)
 
-static const struct log log = {"ingress"};
 CTR(ctr_requests, "ingress_requests_total", "Whole requests read from callers.");
 
 static bool equals_ignoring_case(struct str s, const char *text)
@@ -251,19 +247,6 @@
 	return whole && !status;
 }
 
-/* Sends "100 Continue" if the caller waits for it before it sends the body. */
-static void send_continue(struct ingress_conn *c)
-{
-	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
-	struct str expect = ingress_header(c->req, "expect");
-
-	if (!equals_ignoring_case(expect, "100-continue"))
-		return;
-	if (send(h2o_socket_get_fd(c->sock), interim, sizeof(interim) - 1,
-		 MSG_NOSIGNAL | MSG_DONTWAIT) < 0)
-		log_info(&log, "cannot send 100 Continue to a caller: %s", strerror(errno));
-}
-
 /* Whether the bytes up to the first space can be a method (RFC 9110, 5.6.2). */
 static bool starts_with_token(const char *bytes, size_t n)
 {
@@ -390,8 +373,9 @@
 	free(many);
 	if (!taken)
 		return false;
-	if (c->body_length || c->chunked)
-		send_continue(c);
+	c->continue_due = (c->body_length || c->chunked) &&
+			  equals_ignoring_case(ingress_header(c->req, "expect"), "100-continue");
+	ingress_write_next(c);
 	return read_body(c);
 }
 
--- a/src/connection/ingress_priv.h
+++ b/src/connection/ingress_priv.h
@@ -70,6 +70,9 @@
 	bool ending;	  /* all exchanges end without a response */
 	bool writing;	  /* the response of `first` is being written */
 	bool close_after; /* it closes the connection */
+	/* The caller waits for "100 Continue" before it sends the body of `req`. */
+	bool continue_due;
+	bool writing_continue;
 	struct timer write_timer;
 	uint64_t acked_bytes; /* what the caller had acknowledged at `taken_at` */
 	clk_ms write_started;
@@ -158,7 +161,10 @@
 void ingress_drop_request(struct ingress_request *req);
 /* Ends all open exchanges without a response; reports the close for those being handled. */
 void ingress_drop_exchanges(struct ingress_conn *c);
-/* Writes the response of the first exchange if there is one. */
+/*
+ * Writes the response of the first exchange if there is one; if none is open, "100 Continue" for the
+ * request whose body is being read, if it is due.
+ */
 void ingress_write_next(struct ingress_conn *c);
 
 /* ingress_answer.c */
--- a/test/unit_pipeline.c
+++ b/test/unit_pipeline.c
@@ -226,6 +226,82 @@
 }
 END_TEST
 
+#define LARGE_BYTES (8u << 20) /* more than the system's buffers take */
+
+/* Answers the first request with a large body; returns the memory of it. */
+static char *answer_large(struct fixture *f)
+{
+	char *body = malloc(LARGE_BYTES);
+	struct ingress_request *req = f->open[0];
+
+	ck_assert_ptr_nonnull(body);
+	memset(body, 'x', LARGE_BYTES);
+	f->open[0] = NULL;
+	ingress_reply(req, 200, NULL, 0, (struct str){body, LARGE_BYTES}, false);
+	ingress_request_free(req);
+	return body;
+}
+
+/* Reads all that comes, up to `max` bytes, until nothing came for a while; returns how much. */
+static size_t read_all(struct fixture *f, char *out, size_t max)
+{
+	size_t n = 0;
+	int quiet = 0;
+
+	while (n < max && quiet < 20) {
+		ssize_t got = recv(f->fd, out + n, max - n, MSG_DONTWAIT);
+
+		quiet = got > 0 ? 0 : quiet + 1;
+		if (got > 0)
+			n += (size_t)got;
+		else
+			unit_run_for(f->loop, 10);
+	}
+	return n;
+}
+
+/*
+ * A caller reads a large answer slowly and sends a request ahead, whose body it holds back until it
+ * is told to go on. Guards against "100 Continue" in the middle of the body of that answer, and
+ * against a request that never gets it.
+ */
+START_TEST(continue_comes_after_the_answers_before_it)
+{
+	static const char head[] = "POST /1 HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n"
+				   "content-length: 4\r\n\r\n";
+	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	static struct fixture f;
+	size_t max = LARGE_BYTES + 4096;
+	char *got = calloc(1, max + 1);
+	char *body;
+	char *end;
+	size_t n;
+
+	setup(&f);
+	send_request(&f, "GET", 0);
+	unit_run_for(f.loop, 60);
+	body = answer_large(&f);
+	unit_run_for(f.loop, 60);
+	ck_assert_int_eq(send(f.fd, head, sizeof(head) - 1, MSG_NOSIGNAL), sizeof(head) - 1);
+	unit_run_for(f.loop, 60);
+	n = read_all(&f, got, max);
+	end = strstr(got, "\r\n\r\n");
+	ck_assert_ptr_nonnull(end);
+	end += 4;
+	ck_assert_uint_eq(n, (size_t)(end - got) + LARGE_BYTES + sizeof(interim) - 1);
+	ck_assert(memcmp(end, body, LARGE_BYTES) == 0);
+	ck_assert_str_eq(end + LARGE_BYTES, interim);
+	ck_assert_int_eq(send(f.fd, "body", 4, MSG_NOSIGNAL), 4);
+	unit_run_for(f.loop, 60);
+	ck_assert_uint_eq(f.n_started, 2);
+	answer(&f, 1, false);
+	ck_assert_str_eq(order_of_answers(&f), "1");
+	free(body);
+	free(got);
+	teardown(&f);
+}
+END_TEST
+
 /* Guards against a request that runs though the answer before it closed the connection. */
 START_TEST(what_is_behind_a_closing_answer_has_not_run)
 {
@@ -433,6 +509,7 @@
 
 static void add_tests(TCase *tc)
 {
+	tcase_add_test(tc, continue_comes_after_the_answers_before_it);
 	tcase_add_test(tc, answers_come_in_the_order_of_requests);
 	tcase_add_test(tc, requests_in_flight_are_limited);
 	tcase_add_test(tc, other_requests_wait_for_those_before_them);
