ingress: nothing runs behind an answer that closes its connection

Cause: closes() decides when an answer begins to be written; a request that was read until it was written was passed on, and dropped with the connection. Now nothing more is read then, and a request that was partly read is not started.

--- a/src/connection/ingress_order.c
+++ b/src/connection/ingress_order.c
@@ -15,6 +15,8 @@
 CTR(ctr_malformed, "ingress_malformed_total", "Requests refused because they were malformed.");
 CTR(ctr_caller_closed, "ingress_gone_total", "Callers that left before their answer.");
 CTR(ctr_ahead, "ingress_ahead_total", "Requests started before those ahead of them had ended.");
+CTR(ctr_crossed, "ingress_crossed_total",
+    "Requests not started, since the answer before them closes their connection.");
 CTR(ctr_held, "ingress_held_total", "Requests that waited until those ahead of them had ended.");
 
 static bool next_overlaps(const struct ingress_conn *c)
@@ -26,13 +28,20 @@
 	       (in->handlers.may_overlap(in->data, c->req) || MUTANT(ingress_overlap_any));
 }
 
+/* Whether a response is being written that closes the connection. */
+static bool is_closing(const struct ingress_conn *c)
+{
+	return c->writing && c->close_after && !MUTANT(ingress_read_past_close);
+}
+
 bool ingress_may_read_ahead(const struct ingress_conn *c)
 {
 	size_t max = ingress_limits(c)->max_ahead;
 
 	if (!c->first)
 		return true;
-	return c->last->may_overlap && !c->in->draining && !door_is_short(c->in->door) &&
+	return c->last->may_overlap && !c->in->draining && !is_closing(c) &&
+	       !door_is_short(c->in->door) &&
 	       (c->n_exchanges <= max || MUTANT(ingress_ahead_unlimited)) && max;
 }
 
@@ -83,7 +92,12 @@
 {
 	const struct ingress *in = c->in;
 
-	if (!c->first) {
+	if (is_closing(c)) {
+		/* Its connection ends without an answer to it, so it must not run. */
+		ctr_inc(&ctr_crossed);
+		ingress_conn_discard_request(c);
+		c->state = CONN_ENDED;
+	} else if (!c->first) {
 		start_request(c, in->handlers.may_overlap && ingress_limits(c)->max_ahead &&
 					 in->handlers.may_overlap(in->data, c->req));
 	} else if (next_overlaps(c)) {
--- a/src/connection/ingress_priv.h
+++ b/src/connection/ingress_priv.h
@@ -162,8 +162,8 @@
 /* Ends all open exchanges without a response; reports the close for those being handled. */
 void ingress_drop_exchanges(struct ingress_conn *c);
 /*
- * Writes the response of the first exchange if there is one; if none is open, "100 Continue" for the
- * request whose body is being read, if it is due.
+ * Writes the response of the first exchange if there is one; if none is open, "100 Continue" for
+ * the request whose body is being read, if it is due.
  */
 void ingress_write_next(struct ingress_conn *c);
 
--- a/test/unit_pipeline.c
+++ b/test/unit_pipeline.c
@@ -302,6 +302,42 @@
 }
 END_TEST
 
+/*
+ * An answer that closes the connection is being written when the caller sends the rest of a
+ * request, and another one. Guards against requests that run and whose connection ends without an
+ * answer.
+ */
+START_TEST(requests_that_cross_a_closing_answer_do_not_run)
+{
+	static const char half[] = "GET /1 HTTP/1.1\r\nhost: x\r\n";
+	static struct fixture f;
+	char *got = calloc(1, LARGE_BYTES + 4096);
+	char *body;
+	int others[3];
+
+	setup(&f);
+	for (int i = 0; i < 3; i++)
+		others[i] = dial(&f);
+	send_request(&f, "GET", 0);
+	ck_assert_int_eq(send(f.fd, half, sizeof(half) - 1, MSG_NOSIGNAL), sizeof(half) - 1);
+	unit_run_for(f.loop, 60);
+	f.limits.max_connections = 4; /* crowded: answers close their connections */
+	body = answer_large(&f);
+	unit_run_for(f.loop, 60);
+	ck_assert_int_eq(send(f.fd, "\r\n", 2, MSG_NOSIGNAL), 2);
+	send_request(&f, "GET", 2);
+	unit_run_for(f.loop, 60);
+	ck_assert_uint_gt(read_all(&f, got, LARGE_BYTES + 4096), LARGE_BYTES);
+	ck_assert_ptr_nonnull(strstr(got, "connection: close"));
+	ck_assert_uint_eq(f.n_started, 1);
+	for (int i = 0; i < 3; i++)
+		close(others[i]);
+	free(body);
+	free(got);
+	teardown(&f);
+}
+END_TEST
+
 /* Guards against a request that runs though the answer before it closed the connection. */
 START_TEST(what_is_behind_a_closing_answer_has_not_run)
 {
@@ -504,12 +540,14 @@
 END_TEST
 
 static const char *const mutants[] = {
-	"ingress_any_order",   "ingress_ahead_unlimited", "ingress_overlap_any", "ingress_read_all",
-	"ingress_paused_deaf", "ingress_few_headers",	  "door_keep_stale",	 NULL};
+	"ingress_any_order", "ingress_ahead_unlimited", "ingress_overlap_any",
+	"ingress_read_all",  "ingress_paused_deaf",	"ingress_few_headers",
+	"door_keep_stale",   "ingress_read_past_close", NULL};
 
 static void add_tests(TCase *tc)
 {
 	tcase_add_test(tc, continue_comes_after_the_answers_before_it);
+	tcase_add_test(tc, requests_that_cross_a_closing_answer_do_not_run);
 	tcase_add_test(tc, answers_come_in_the_order_of_requests);
 	tcase_add_test(tc, requests_in_flight_are_limited);
 	tcase_add_test(tc, other_requests_wait_for_those_before_them);
