watch: a call that replaced a hanging one is awaited

Cause: while a peer had a newer row, the open call for changes was replaced each 500 ms, also while its answer, several versions of the configuration, arrived over a slow link. Evidence: the log line of the replacement each half second.

--- a/src/process/watch.c
+++ b/src/process/watch.c
@@ -12,8 +12,12 @@
  * long a call can hang if the store has lost it.
  */
 #define WATCH_WAIT_MS 20000
-/* If a peer has newer rows for longer than this, the open call is taken to hang. */
+/*
+ * If a peer has newer rows for longer than this, a call that was sent before is taken to hang. One
+ * that was sent since is answered at once; a large answer over a slow link may take this long.
+ */
 #define BEHIND_PEER_MS 500
+#define BEHIND_WAIT_MS 3000
 /*
  * Pause after an answer with changes. Rows change in bursts and each call has a cost, so a pause
  * saves calls. It is well below the 2 s in which configurations and draining upstreams have to take
@@ -217,6 +221,7 @@
 	}
 	set_store_ok(w, true);
 	note_answer(w, meta_era(a->version));
+	t->behind_since = 0;
 	if (a->version < t->version && known < t->version && !MUTANT(watch_undo_copy)) {
 		/* A copy from a peer was applied since, and is newer than this late answer. */
 		timer_arm(&t->timer, 0);
@@ -255,6 +260,8 @@
 
 	if (!w->store_ok || first)
 		return 0;
+	if (t->behind_since)
+		return BEHIND_WAIT_MS;
 	return w->config_wait && t->id == META_CONFIG ? w->config_wait : WATCH_WAIT_MS;
 }
 
@@ -376,11 +383,11 @@
 	}
 	if (!t->behind_since) {
 		t->behind_since = clk_now();
-	} else if (clk_now() - t->behind_since > BEHIND_PEER_MS && t->open_call) {
+	} else if (clk_now() - t->behind_since > BEHIND_PEER_MS && t->open_call &&
+		   (t->open_call->sent <= t->behind_since || MUTANT(watch_replace_again))) {
 		log_info(&log, "table %d is behind a peer; replacing the open call to the store",
 			 (int)table);
 		abandon_call(t);
-		t->behind_since = 0;
 		timer_arm(&t->timer, 0);
 	}
 }
--- a/test/unit_watch.c
+++ b/test/unit_watch.c
@@ -242,6 +242,35 @@
 }
 END_TEST
 
+/*
+ * The answer with a peer's newer rows is large and takes a second. Guards against a call that is
+ * replaced again and again while its answer arrives, so that the rows never come: review/7.
+ */
+START_TEST(large_answer_after_a_replaced_call_is_awaited)
+{
+	static struct fixture f;
+	struct pending *second;
+
+	setup(&f);
+	answer_call(open_call(&f, META_UPSTREAMS), META_OK, 7, 1);
+	ck_assert(unit_run_until(f.loop, has_upstreams_call, &f));
+	watch_report_peer_row(f.watch, META_UPSTREAMS, 30);
+	unit_run_for(f.loop, 600);
+	watch_report_peer_row(f.watch, META_UPSTREAMS, 30);
+	unit_run_for(f.loop, 50);
+	second = open_call(&f, META_UPSTREAMS);
+	ck_assert_int_le(second->wait, 3000);
+	for (int i = 0; i < 10; i++) {
+		watch_report_peer_row(f.watch, META_UPSTREAMS, 30);
+		unit_run_for(f.loop, 110);
+	}
+	ck_assert_ptr_eq(open_call(&f, META_UPSTREAMS), second);
+	answer_call(second, META_OK, 30, 1);
+	ck_assert_uint_eq(f.rows[META_UPSTREAMS], 2);
+	teardown(&f);
+}
+END_TEST
+
 /* A peer's copy is used only if it is newer and the store does not answer. */
 START_TEST(copies_are_used_without_the_store)
 {
@@ -474,9 +503,13 @@
 }
 END_TEST
 
-static const char *const mutants[] = {"watch_undo_copy",      "watch_keep_probe",
-				      "watch_ignore_gap",     "watch_wait_first",
-				      "watch_ignore_restore", NULL};
+static const char *const mutants[] = {"watch_undo_copy",
+				      "watch_keep_probe",
+				      "watch_ignore_gap",
+				      "watch_wait_first",
+				      "watch_ignore_restore",
+				      "watch_replace_again",
+				      NULL};
 
 static void add_tests(TCase *tc)
 {
@@ -487,6 +520,7 @@
 	tcase_add_test(tc, one_call_probes_a_refusing_store);
 	tcase_add_test(tc, each_table_recovers_from_an_outage);
 	tcase_add_test(tc, hanging_call_is_replaced);
+	tcase_add_test(tc, large_answer_after_a_replaced_call_is_awaited);
 	tcase_add_test(tc, copies_are_used_without_the_store);
 	tcase_add_test(tc, passive_watch_applies_changes);
 	tcase_add_test(tc, active_watch_continues_from_copies);
