peers: a heartbeat is answered only if its connection is still open

Read, not shown: what a heartbeat causes (the end of a role, requests for maps and copies) sends frames to the same peer, and a full queue ends the connection at once. The new answer looks the peer up again.

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -339,8 +339,11 @@
 	return false;
 }
 
-/* Records what a peer says of the roles of this gateway; a higher term ends the role. */
-static void on_followed(struct gateway *g, const struct gateway_peer *p, const Bc__Pulse *msg)
+/*
+ * Records what process `node` of gateway `id` says of the roles of this one; a higher term ends the
+ * role.
+ */
+static void on_followed(struct gateway *g, uint64_t id, uint64_t node, const Bc__Pulse *msg)
 {
 	for (size_t i = 0; i < msg->n_follows; i++) {
 		const Bc__KeeperTerm *followed = msg->follows[i];
@@ -354,8 +357,8 @@
 		}
 		voters_heard(&s->voters,
 			     &(struct vote){
-				     .id = p->id,
-				     .node = p->node,
+				     .id = id,
+				     .node = node,
 				     .age = followed->process_ms,
 				     .follows = followed->term,
 				     .before = followed->before,
@@ -373,6 +376,7 @@
 static void on_heartbeat(struct gateway *g, struct gateway_peer *p, const Bc__Pulse *msg)
 {
 	bool answer_now = msg->ask || names_new_term(p, msg);
+	uint64_t node = p->node;
 
 	p->draining = msg->draining;
 	p->store_ok = msg->store_ok;
@@ -391,7 +395,7 @@
 	if (!is_registered(g, p))
 		return;
 	note_peer_store(g, p, msg);
-	on_followed(g, p, msg);
+	on_followed(g, p->id, node, msg);
 	for (size_t i = 0; i < msg->n_keeper && p->n_manages < GATEWAY_MAX_MANAGED; i++) {
 		struct gateway_service *s = gateway_keyed_service(g, msg->keeper[i]->service);
 
@@ -408,8 +412,9 @@
 	watch_report_peer_row(g->watch, META_CONFIG, msg->config_row);
 	watch_report_peer_row(g->watch, META_UPSTREAMS, msg->upstreams_row);
 	catch_up(g, p, msg);
-	/* Comes last, since a failed send may end the connection and free the peer. */
-	if (answer_now)
+	/* A failed send may have ended the connection. */
+	p = gateway_find_peer(g, node);
+	if (answer_now && p)
 		send_heartbeat_now(g, p);
 }
 
