peers: only hubs answer a new shard manager at once

Cause, by the change: each gateway answered the first heartbeat of each shard manager at once, and after a start the role changes often. Only hubs vote, so only they answer now. In a region of twelve gateways or fewer all are hubs, and nothing changes.

unit_gateway_peer and the scripts regioncut, restoredowner and gateway pass with it.

--- a/src/process/gateway_peer.c
+++ b/src/process/gateway_peer.c
@@ -384,7 +384,9 @@
  */
 static void on_heartbeat(struct gateway *g, struct gateway_peer *p, const Bc__Pulse *msg)
 {
-	bool answer_now = msg->ask || names_new_term(p, msg);
+	/* Only hubs vote: answers of all gateways at once would be too many in a large deployment.
+	 */
+	bool answer_now = g->is_hub && (msg->ask || names_new_term(p, msg));
 	uint64_t node = p->node;
 
 	p->draining = msg->draining;
